--- a/include/winchflow/router.h
+++ b/include/winchflow/router.h
@@ -118,7 +118,8 @@
     RequestId request{};
     std::uint32_t attempt = 0;
 };
-enum class Ending { good, error, full, late, no_connection, reset, cancelled, not_sent, miss };
+// unseen: the client was sent to the cache itself, so nobody here saw how or whether it ended.
+enum class Ending { good, error, full, late, no_connection, reset, cancelled, not_sent, miss, unseen };
 enum class Note {
     none,
     hit,
--- /dev/null
+++ b/src/config/config.h
@@ -0,0 +1,46 @@
+// The configuration file, straight into what the program uses.
+#pragma once
+
+#include <json/json.h>
+
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+#include "config/bulletin_event.h"
+#include "winchflow/router.h"
+
+namespace silverrail::config {
+
+struct ConfigError : std::runtime_error {
+    using std::runtime_error::runtime_error;
+};
+
+struct Config {
+    std::string name;
+    std::string listen;    // address:port
+    std::string bulletin;  // address:port
+    std::uint64_t seed = 0;
+    std::size_t sockets = 1024;
+    winchflow::Span connect_timeout{};
+    winchflow::Span conn_idle{};  // after that the other side closes an idle connection
+    std::int64_t known_no = 0;    // the last event of `known`
+    std::vector<Json::Value> known;
+    winchflow::Settings settings;
+};
+
+// Throws ConfigError, whose text names the key.
+Config parse_config(const Json::Value& root);
+Config load_config(const std::string& path);
+
+// address:port
+struct Endpoint {
+    std::string host;
+    std::uint16_t port = 0;
+};
+std::optional<Endpoint> parse_endpoint(std::string_view text);
+
+// Whole text as JSON; absent if it is not. Bounded in depth.
+std::optional<Json::Value> parse_json(std::string_view text);
+
+}  // namespace silverrail::config
--- /dev/null
+++ b/src/core/counters.cpp
@@ -0,0 +1,34 @@
+#include "core/counters.h"
+
+namespace silverrail::core {
+
+std::string Counters::text() const {
+    static constexpr const char* kEndings[] = {"good",  "error",     "full",     "late", "no_connection",
+                                               "reset", "cancelled", "not_sent", "miss", "unseen"};
+    std::string out;
+    const auto put = [&out](const char* name, std::uint64_t value) {
+        out += name;
+        out += ' ' + std::to_string(value) + '\n';
+    };
+    put("taken", taken);
+    put("not_admitted", not_admitted);
+    put("open", open);
+    put("sent", sent);
+    put("held_at_first_byte", held_at_first_byte);
+    put("tightened", tightened);
+    put("cancelled", cancelled);
+    put("served", served);
+    put("unchanged", unchanged);
+    put("referred", referred);
+    put("refused", refused);
+    put("failed", failed);
+    put("abandoned", abandoned);
+    put("past_deadline", past_deadline);
+    put("lists", lists);
+    put("purges", purges);
+    for (std::size_t i = 0; i < endings.size(); ++i)
+        put((std::string{"ending_"} + kEndings[i]).c_str(), endings[i]);
+    return out;
+}
+
+}  // namespace silverrail::core
--- /dev/null
+++ b/src/core/counters.h
@@ -0,0 +1,34 @@
+// What the program counts. Plain numbers, printed on request and at exit.
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <string>
+
+#include "core/types.h"
+
+namespace silverrail::core {
+
+struct Counters {
+    std::uint64_t taken = 0;
+    std::uint64_t not_admitted = 0;
+    std::uint64_t sent = 0;
+    std::uint64_t held_at_first_byte = 0;  // not written: barred meanwhile
+    std::uint64_t tightened = 0;           // a purge came between decision and first byte
+    std::uint64_t cancelled = 0;
+    std::uint64_t served = 0;
+    std::uint64_t unchanged = 0;
+    std::uint64_t referred = 0;
+    std::uint64_t refused = 0;
+    std::uint64_t failed = 0;
+    std::uint64_t abandoned = 0;
+    std::uint64_t past_deadline = 0;  // answered by the core's own guard
+    std::uint64_t lists = 0;
+    std::uint64_t purges = 0;
+    std::uint64_t open = 0;
+    std::array<std::uint64_t, 10> endings{};  // by winchflow::Ending
+
+    std::string text() const;  // one "name value" a line
+};
+
+}  // namespace silverrail::core
--- /dev/null
+++ b/src/core/engine.cpp
@@ -0,0 +1,241 @@
+#include "core/engine.h"
+
+#include <utility>
+
+namespace silverrail::core {
+
+namespace {
+// A deadline's own time-out is told first; the guard after it answers whatever is still open.
+constexpr Span kGuardAfter = std::chrono::milliseconds{2};
+// A call that is not admitted is asked to come back when some of the open ones are through.
+constexpr Span kNotAdmittedHoldOff = std::chrono::milliseconds{200};
+}  // namespace
+
+Engine::Engine(winchflow::Settings settings, std::uint64_t seed, std::size_t most_open, const Clock& clock,
+               Timers& timers, AttemptSender& sender, Log& log)
+    : settings_(std::move(settings)),
+      clock_(clock),
+      timers_(timers),
+      sender_(sender),
+      log_(log),
+      purges_(settings_.cleared_within + settings_.heed_within + std::chrono::seconds{1}),
+      take_in_(settings_),
+      admit_(most_open),
+      route_(settings_, seed),
+      send_(fleet_, purges_),
+      relay_(counters_),
+      book_(counters_) {}
+
+bool Engine::knows_class(const std::string& name) const {
+    Call call;
+    call.class_name = name;
+    return take_in_.class_of(call).has_value();
+}
+
+bool Engine::unsafe_class(const std::string& name) const {
+    Call call;
+    call.class_name = name;
+    const auto index = take_in_.class_of(call);
+    return !index || settings_.classes[*index].effect != winchflow::Effect::pure;
+}
+
+const Counters& Engine::counters() {
+    counters_.open = open_.size();
+    return counters_;
+}
+
+std::optional<RequestId> Engine::take(Call call, std::shared_ptr<ReplySink> sink) {
+    ++counters_.taken;
+    const Time now = clock_.now();
+    OpenCall open;
+    open.sink = std::move(sink);
+    const auto class_index = take_in_.class_of(call);
+    if (!class_index || call.deadline <= now) {
+        relay_.answer(open, Relay::failed(class_index.has_value()));
+        return std::nullopt;
+    }
+    if (!admit_.admits(open_.size())) {
+        ++counters_.not_admitted;
+        log_.line("not-admitted", "%zu calls are open", open_.size());
+        relay_.answer(open, Relay::refused(kNotAdmittedHoldOff, false));
+        return std::nullopt;
+    }
+    const RequestId id = take_in_.next_id();
+    open.call = std::make_shared<const Call>(std::move(call));
+    open.class_index = *class_index;
+    open.taken = now;
+    open.guard = timers_.at(open.call->deadline + kGuardAfter, [this, id] { deadline(id); });
+    const auto request = take_in_.request(id, *class_index, *open.call);
+    open_.emplace(id, std::move(open));
+    tell(request);
+    return open_.contains(id) ? std::optional{id} : std::nullopt;
+}
+
+void Engine::abandon(RequestId id) {
+    auto at = open_.find(id);
+    if (at == open_.end() || at->second.answered()) return;
+    ++counters_.abandoned;
+    at->second.sink = nullptr;
+    tell(winchflow::Abandoned{id});
+    // What is still out serves nobody: given up at the box too.
+    withdraw(id);
+    drop_if_done(id);
+}
+
+void Engine::withdraw(RequestId id) {
+    for (std::uint32_t i = 0;; ++i) {
+        const auto at = open_.find(id);
+        if (at == open_.end() || i >= at->second.attempts.size()) return;
+        act(winchflow::Cancel{id, i});
+    }
+}
+
+void Engine::apply(const BoxChange& change) {
+    ++counters_.lists;
+    for (const CacheId& id : fleet_.apply(change, clock_.now())) sender_.forget(id);
+    winchflow::CacheList list{change.complete, {}};
+    for (const Box& box : change.boxes) list.caches.push_back(box.entry);
+    tell(std::move(list));
+}
+
+void Engine::apply(const PurgeNotice& purge) {
+    ++counters_.purges;
+    const auto unix_ms = clock_.unix_ms();
+    purges_.add(purge, unix_ms);
+    tell(winchflow::Purge{purge.object, purge.group,
+                          std::chrono::milliseconds{std::max<std::int64_t>(0, unix_ms - purge.issued_ms)}});
+}
+
+// Events that arise while the module is being told of one wait for their turn.
+void Engine::tell(winchflow::Event event) {
+    events_.push_back(std::move(event));
+    if (std::exchange(telling_, true)) return;
+    while (!events_.empty()) {
+        const winchflow::Event next = std::move(events_.front());
+        events_.pop_front();
+        for (const auto& action : route_.tell(next, clock_.now()))
+            std::visit([this](const auto& a) { act(a); }, action);
+        if (const auto* outcome = std::get_if<winchflow::Outcome>(&next)) drop_if_done(outcome->request);
+    }
+    telling_ = false;
+}
+
+void Engine::act(const winchflow::Send& send) {
+    auto at = open_.find(send.request);
+    if (at == open_.end()) return;
+    OpenCall& open = at->second;
+    const Time now = clock_.now();
+    const auto attempt = static_cast<std::uint32_t>(open.attempts.size());
+    const AttemptKey key{send.request, attempt};
+    open.attempts.push_back({.sent = now});
+    auto order = send_.order(send, open, attempt, now);
+    if (!order || open.answered() || now >= order->give_up) {
+        ended(key, {.ending = Ending::not_sent});
+        return;
+    }
+    if (open.call->referred) return refer(open, *order);
+    ++counters_.sent;
+    open.attempts.back().timer = timers_.at(order->give_up, [this, key] { timed_out(key); });
+    open.attempts.back().order = *order;
+    sender_.start(std::move(*order), *this);
+}
+
+// The client goes to the box by itself: nobody here will see how that ends, and the module is told so.
+void Engine::refer(OpenCall& open, const Order& order) {
+    const auto address = send_.referral(order, clock_.now());
+    const AttemptKey key = order.key;
+    relay_.answer(open, address ? Relay::referred(*address) : Relay::refused(Span{}, false));
+    ended(key, {.ending = Ending::unseen});
+}
+
+void Engine::act(const winchflow::Cancel& cancel) {
+    auto at = open_.find(cancel.request);
+    if (at == open_.end() || cancel.attempt >= at->second.attempts.size()) return;
+    if (!at->second.attempts[cancel.attempt].out) return;
+    ++counters_.cancelled;
+    const AttemptKey key{cancel.request, cancel.attempt};
+    sender_.cancel(key);
+    ended(key, {.ending = Ending::cancelled});
+}
+
+void Engine::act(const winchflow::Refuse& refuse) {
+    auto at = open_.find(refuse.request);
+    if (at == open_.end()) return;
+    finish(refuse.request, Relay::refused(refuse.retry_after, clock_.now() >= at->second.call->deadline));
+}
+
+void Engine::act(const winchflow::Fail& fail) {
+    auto at = open_.find(fail.request);
+    if (at == open_.end()) return;
+    finish(fail.request, Relay::failed(clock_.now() >= at->second.call->deadline));
+}
+
+void Engine::act(const winchflow::SetTimer& timer) {
+    timers_.at(clock_.now() + timer.after, [this, id = timer.id] { tell(winchflow::Timer{id}); });
+}
+
+std::optional<Span> Engine::before_first_byte(const AttemptKey& key) {
+    auto at = open_.find(key.request);
+    if (at == open_.end() || key.attempt >= at->second.attempts.size()) return std::nullopt;
+    const OpenAttempt& attempt = at->second.attempts[key.attempt];
+    if (!attempt.out || !attempt.order || at->second.answered()) return std::nullopt;
+    bool tightened = false;
+    const auto oldest = send_.at_first_byte(*attempt.order, clock_.now(), clock_.unix_ms(), tightened);
+    if (!oldest) ++counters_.held_at_first_byte;
+    if (tightened) ++counters_.tightened;
+    return oldest;
+}
+
+void Engine::ended(const AttemptKey& key, AttemptEnd end) {
+    auto at = open_.find(key.request);
+    if (at == open_.end() || key.attempt >= at->second.attempts.size()) return;
+    OpenCall& open = at->second;
+    OpenAttempt& attempt = open.attempts[key.attempt];
+    if (!attempt.out) return;
+    attempt.out = false;
+    attempt.order.reset();
+    if (attempt.timer) timers_.cancel(std::exchange(attempt.timer, 0));
+    const bool good = end.ending == Ending::good;
+    const auto outcome = book_.outcome(key, end, attempt, good || open.answered(), clock_.now());
+    if (good) relay_.answer(open, Relay::served(std::move(end)));
+    tell(outcome);
+}
+
+void Engine::timed_out(const AttemptKey& key) {
+    auto at = open_.find(key.request);
+    if (at == open_.end() || key.attempt >= at->second.attempts.size()) return;
+    at->second.attempts[key.attempt].timer = 0;
+    if (!at->second.attempts[key.attempt].out) return;
+    sender_.cancel(key);
+    ended(key, {.ending = Ending::late});
+}
+
+// Guards rule 1 (every request answered): a call that the module still holds at its deadline.
+void Engine::deadline(RequestId id) {
+    auto at = open_.find(id);
+    if (at == open_.end()) return;
+    at->second.guard = 0;
+    if (at->second.answered()) return;
+    ++counters_.past_deadline;
+    log_.line("past-deadline", "a %s call was still open", at->second.call->class_name.c_str());
+    relay_.answer(at->second, Relay::failed(true));
+    tell(winchflow::Abandoned{id});
+    withdraw(id);
+    drop_if_done(id);
+}
+
+void Engine::finish(RequestId id, Answer answer) {
+    auto at = open_.find(id);
+    if (at == open_.end()) return;
+    relay_.answer(at->second, std::move(answer));
+    drop_if_done(id);
+}
+
+void Engine::drop_if_done(RequestId id) {
+    auto at = open_.find(id);
+    if (at == open_.end() || !at->second.answered() || !at->second.idle()) return;
+    if (at->second.guard) timers_.cancel(at->second.guard);
+    open_.erase(at);
+}
+
+}  // namespace silverrail::core
--- /dev/null
+++ b/src/core/engine.h
@@ -0,0 +1,67 @@
+// Leads calls through the stages and owns the invariant: one final answer per call, by its deadline.
+#pragma once
+
+#include <deque>
+
+#include "core/stages.h"
+#include "log/log.h"
+
+namespace silverrail::core {
+
+class Engine : private AttemptEvents {
+public:
+    Engine(winchflow::Settings settings, std::uint64_t seed, std::size_t most_open, const Clock& clock,
+           Timers& timers, AttemptSender& sender, Log& log);
+
+    // The sink gets exactly one answer, now or later, unless the call is abandoned first. Absent: it has
+    // been answered already.
+    std::optional<RequestId> take(Call call, std::shared_ptr<ReplySink> sink);
+    void abandon(RequestId id);  // the client has gone; nothing is owed any more
+
+    void apply(const BoxChange& change);
+    void apply(const PurgeNotice& purge);
+
+    std::size_t open() const { return open_.size(); }
+    bool knows_class(const std::string& name) const;
+    // Never to run twice: nothing that repeats by itself may carry it.
+    bool unsafe_class(const std::string& name) const;
+    const Counters& counters();
+    winchflow::Router::Sizes sizes() const { return route_.sizes(); }
+
+private:
+    std::optional<Span> before_first_byte(const AttemptKey& key) override;
+    void ended(const AttemptKey& key, AttemptEnd end) override;
+
+    void tell(winchflow::Event event);
+    void act(const winchflow::Send& send);
+    void act(const winchflow::Cancel& cancel);
+    void act(const winchflow::Refuse& refuse);
+    void act(const winchflow::Fail& fail);
+    void act(const winchflow::SetTimer& timer);
+    void refer(OpenCall& open, const Order& order);
+    void timed_out(const AttemptKey& key);
+    void deadline(RequestId id);
+    void finish(RequestId id, Answer answer);
+    void withdraw(RequestId id);  // cancels what is out
+    void drop_if_done(RequestId id);
+
+    winchflow::Settings settings_;
+    const Clock& clock_;
+    Timers& timers_;
+    AttemptSender& sender_;
+    Log& log_;
+    Counters counters_;
+    Fleet fleet_;
+    Purges purges_;
+    OpenCalls open_;
+    TakeIn take_in_;
+    Admit admit_;
+    Route route_;
+    Send send_;
+    Relay relay_;
+    Book book_;
+    std::deque<winchflow::Event> events_;
+    bool telling_ = false;
+};
+
+}  // namespace silverrail::core
--- /dev/null
+++ b/src/core/purges.cpp
@@ -0,0 +1,31 @@
+#include "core/purges.h"
+
+#include <algorithm>
+
+namespace silverrail::core {
+
+void Purges::add(const PurgeNotice& purge, std::int64_t unix_ms) {
+    forget(unix_ms);
+    auto& issued = purge.object ? objects_[*purge.object] : groups_[purge.group];
+    issued = std::max(issued, purge.issued_ms);
+}
+
+std::optional<Span> Purges::bound(const Call& call, std::int64_t unix_ms) const {
+    std::optional<std::int64_t> issued;
+    if (auto at = objects_.find(call.object_id); at != objects_.end()) issued = at->second;
+    if (auto at = groups_.find(call.group); at != groups_.end())
+        issued = std::max(issued.value_or(at->second), at->second);
+    if (!issued || *issued + kept_ms_ < unix_ms) return std::nullopt;
+    // Never 0, which would mean the class's fresh time.
+    return std::chrono::milliseconds{std::max<std::int64_t>(1, unix_ms - *issued)};
+}
+
+void Purges::forget(std::int64_t unix_ms) {
+    if (unix_ms < swept_ms_ + 1000) return;
+    swept_ms_ = unix_ms;
+    const auto old = [&](const auto& e) { return e.second + kept_ms_ < unix_ms; };
+    std::erase_if(objects_, old);
+    std::erase_if(groups_, old);
+}
+
+}  // namespace silverrail::core
--- /dev/null
+++ b/src/core/relay.cpp
@@ -0,0 +1,51 @@
+#include <utility>
+
+#include "core/stages.h"
+
+namespace silverrail::core {
+
+// Guards rule 1 (one final answer): the sink is given up with its answer.
+bool Relay::answer(OpenCall& open, Answer answer) {
+    auto sink = std::exchange(open.sink, nullptr);
+    if (!sink) return false;
+    switch (answer.kind) {
+        case Answer::Kind::served: ++counters_.served; break;
+        case Answer::Kind::unchanged: ++counters_.unchanged; break;
+        case Answer::Kind::referred: ++counters_.referred; break;
+        case Answer::Kind::refused: ++counters_.refused; break;
+        case Answer::Kind::failed: ++counters_.failed; break;
+    }
+    sink->reply(std::move(answer));
+    return true;
+}
+
+Answer Relay::served(AttemptEnd end) {
+    Answer a;
+    a.kind = end.unchanged ? Answer::Kind::unchanged : Answer::Kind::served;
+    a.body = std::move(end.body);
+    a.tag = std::move(end.tag);
+    return a;
+}
+
+Answer Relay::refused(Span hold_off, bool timed_out) {
+    Answer a;
+    a.kind = Answer::Kind::refused;
+    a.hold_off = hold_off;
+    a.timed_out = timed_out;
+    return a;
+}
+
+Answer Relay::failed(bool timed_out) {
+    Answer a;
+    a.timed_out = timed_out;
+    return a;
+}
+
+Answer Relay::referred(std::string address) {
+    Answer a;
+    a.kind = Answer::Kind::referred;
+    a.box_address = std::move(address);
+    return a;
+}
+
+}  // namespace silverrail::core
--- /dev/null
+++ b/src/core/route.cpp
@@ -0,0 +1,12 @@
+#include <algorithm>
+
+#include "core/stages.h"
+
+namespace silverrail::core {
+
+std::vector<winchflow::Action> Route::tell(const winchflow::Event& event, Time now) {
+    last_ = std::max(last_, now);
+    return router_.on(event, last_);
+}
+
+}  // namespace silverrail::core
--- /dev/null
+++ b/src/core/send.cpp
@@ -0,0 +1,49 @@
+#include <algorithm>
+
+#include "core/stages.h"
+
+namespace silverrail::core {
+
+std::optional<Order> Send::order(const winchflow::Send& send, const OpenCall& open, std::uint32_t attempt,
+                                 Time now) const {
+    const Box* box = fleet_.find(send.target);
+    if (!box) return std::nullopt;
+    Order order;
+    order.key = {send.request, attempt};
+    order.call = open.call;
+    order.target = send.target;
+    order.address = box->address;
+    if (send.fill) {
+        if (send.fill->source != send.target) order.source = send.fill->source;
+        order.rank = static_cast<int>(send.fill->rank);
+        order.oldest = send.fill->oldest;
+        order.join = send.fill->join;
+        order.renew = send.fill->renew;
+        order.held_only = send.fill->held_only;
+    }
+    order.give_up = open.call->deadline;
+    if (send.timeout > Span{}) order.give_up = std::min(order.give_up, now + send.timeout);
+    return order;
+}
+
+std::optional<Span> Send::at_first_byte(const Order& order, Time now, std::int64_t unix_ms,
+                                        bool& tightened) const {
+    // Guards rule 3 (drains): the wait for a connection may have outlasted the grace.
+    if (now >= order.give_up || !fleet_.may_be_named(order.target, now)) return std::nullopt;
+    if (order.source && !fleet_.may_be_named(*order.source, now)) return std::nullopt;
+    // Guards rule 5 (purges): one told during the wait binds by the time of the first byte.
+    const auto bound = purges_.bound(*order.call, unix_ms);
+    tightened = bound && (order.oldest == Span{} || *bound < order.oldest);
+    return tightened ? *bound : order.oldest;
+}
+
+std::optional<std::string> Send::referral(const Order& order, Time now) const {
+    // A purge's age bound, a source that may not fetch, a look without a fill: none fits into a name, and
+    // left out they would change what the box does.
+    if (order.oldest != Span{} || order.held_only || !order.source) return std::nullopt;
+    const Box* box = fleet_.find(order.target);
+    if (!box || box->barred || !fleet_.may_be_named(order.target, now)) return std::nullopt;
+    return box->address;
+}
+
+}  // namespace silverrail::core
--- /dev/null
+++ b/src/core/take_in.cpp
@@ -0,0 +1,27 @@
+#include "core/stages.h"
+
+namespace silverrail::core {
+
+TakeIn::TakeIn(const winchflow::Settings& settings) {
+    for (std::size_t i = 0; i < settings.classes.size(); ++i) classes_[settings.classes[i].name] = i;
+}
+
+std::optional<std::size_t> TakeIn::class_of(const Call& call) const {
+    auto at = classes_.find(call.class_name);
+    if (at == classes_.end()) return std::nullopt;
+    return at->second;
+}
+
+winchflow::Request TakeIn::request(RequestId id, std::size_t class_index, const Call& call) const {
+    winchflow::Request r;
+    r.id = id;
+    r.class_index = class_index;
+    r.object = call.object_id;
+    r.group = call.group;
+    r.part = call.part;
+    r.size_kb = call.size_kb;
+    r.deadline = call.deadline;
+    return r;
+}
+
+}  // namespace silverrail::core
--- /dev/null
+++ b/src/core/types.h
@@ -0,0 +1,78 @@
+// What the core deals in: calls, attempts and answers. No wire is known here.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "winchflow/router.h"
+
+namespace silverrail::core {
+
+using winchflow::CacheId;
+using winchflow::Ending;
+using winchflow::Note;
+using winchflow::RequestId;
+using winchflow::Span;
+using winchflow::Time;
+
+// One request as a front hands it over.
+struct Call {
+    std::string trace;       // the client's own id, passed on unchanged
+    std::string class_name;  // as the settings name it
+    std::string object;      // as the client wrote it
+    winchflow::ObjectId object_id{};
+    std::uint32_t part = 0;
+    winchflow::GroupId group{};
+    double size_kb = 0;
+    Time deadline{};
+    bool write = false;
+    std::shared_ptr<const std::string> body;  // of a write
+    std::string have;                         // bare tag of the client's copy; empty: none
+    bool referred = false;                    // the client goes to the box by itself: only a name is wanted
+};
+
+struct Answer {
+    enum class Kind { served, unchanged, referred, refused, failed };
+    Kind kind = Kind::failed;
+    std::string body;         // served
+    std::string tag;          // served, unchanged
+    Span hold_off{};          // refused: how long to stay away; 0: nothing is said
+    std::string box_address;  // referred
+    bool timed_out = false;   // refused, failed: the deadline has passed
+};
+
+struct AttemptKey {
+    RequestId request{};
+    std::uint32_t attempt = 0;
+    auto operator<=>(const AttemptKey&) const = default;
+};
+
+// One attempt as the core orders it. The call lives as long as the attempt is out.
+struct Order {
+    AttemptKey key{};
+    std::shared_ptr<const Call> call;
+    CacheId target{};
+    std::string address;
+    std::optional<CacheId> source{};  // absent: a miss is not filled
+    int rank = 0;
+    Span oldest{};  // 0: the class's fresh time
+    bool join = false;
+    bool renew = false;
+    bool held_only = false;
+    Time give_up{};
+};
+
+// How an attempt ended, as seen on the wire.
+struct AttemptEnd {
+    Ending ending = Ending::error;
+    Note note = Note::none;
+    Span source_wait{};
+    winchflow::Load load{};
+    bool unchanged = false;  // good: the client's copy is the one
+    std::string body{};      // good
+    std::string tag{};       // good
+};
+
+}  // namespace silverrail::core
--- /dev/null
+++ b/src/front/platform/platform.cpp
@@ -0,0 +1,139 @@
+#include "front/platform/platform.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+
+#include "config/bulletin_event.h"
+
+namespace silverrail::front {
+
+namespace http = net::http;
+
+namespace {
+
+constexpr std::string_view kPath = "/ops/";
+constexpr std::string_view kPart = "piece-";
+constexpr std::int64_t kLongestWaitMs = 600'000;
+
+std::string_view view(net::beast::string_view text) { return {text.data(), text.size()}; }
+
+template <class Number>
+std::optional<Number> number(std::string_view text) {
+    Number value{};
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (error != std::errc{} || end != text.data() + text.size()) return std::nullopt;
+    return value;
+}
+
+// CLASS/OBJECT/piece-PART
+bool parse_target(std::string_view target, core::Call& call) {
+    if (!target.starts_with(kPath)) return false;
+    target.remove_prefix(kPath.size());
+    const auto object_at = target.find('/');
+    if (object_at == std::string_view::npos || object_at == 0) return false;
+    const auto part_at = target.find('/', object_at + 1);
+    if (part_at == std::string_view::npos) return false;
+    const std::string_view part = target.substr(part_at + 1);
+    call.class_name = target.substr(0, object_at);
+    call.object = target.substr(object_at + 1, part_at - object_at - 1);
+    const auto object = config::parse_hex(call.object);
+    if (!object || call.object.size() != 16 || !part.starts_with(kPart)) return false;
+    const auto number_of_part = number<std::uint32_t>(part.substr(kPart.size()));
+    if (!number_of_part) return false;
+    call.object_id = winchflow::ObjectId{*object};
+    call.part = *number_of_part;
+    return true;
+}
+
+// The bare tag of `"TAG"`; a list or a weak tag names no copy here.
+std::string bare_tag(std::string_view text) {
+    if (text.size() < 3 || text.front() != '"' || text.back() != '"') return {};
+    text = text.substr(1, text.size() - 2);
+    return text.find_first_of("\", ") == std::string_view::npos ? std::string{text} : std::string{};
+}
+
+class Reply : public core::ReplySink {
+public:
+    explicit Reply(std::shared_ptr<net::HttpSession> session) : session_(std::move(session)) {}
+    void reply(core::Answer answer) override {
+        if (const auto session = std::exchange(session_, nullptr))
+            session->respond(response_of(std::move(answer)));
+    }
+
+private:
+    std::shared_ptr<net::HttpSession> session_;
+};
+
+}  // namespace
+
+std::variant<core::Call, std::string> parse_call(net::HttpRequest request, core::Time now) {
+    core::Call call;
+    if (request.method() != http::verb::get && request.method() != http::verb::put)
+        return "neither GET nor PUT";
+    if (!parse_target(view(request.target()), call)) return "no such target";
+    call.trace = view(request["Trace-Id"]);
+    if (call.trace.size() != 16 || !config::parse_hex(call.trace)) return "Trace-Id: not 16 hex digits";
+    const auto wait = number<std::int64_t>(view(request["Max-Wait-Ms"]));
+    if (!wait || *wait <= 0 || *wait > kLongestWaitMs) return "Max-Wait-Ms: not a time";
+    call.deadline = now + std::chrono::milliseconds{*wait};
+    if (const auto lot = view(request["X-Lot"]); !lot.empty()) {
+        const auto group = number<std::uint64_t>(lot);
+        if (!group || *group > 255) return "X-Lot: not 0 to 255";
+        call.group = winchflow::GroupId{*group};
+    }
+    if (const auto kb = view(request["Reserve-Kb"]); !kb.empty()) {
+        const auto size = number<double>(kb);
+        if (!size || !std::isfinite(*size) || *size < 0) return "Reserve-Kb: not a size";
+        call.size_kb = *size;
+    }
+    call.have = bare_tag(view(request[http::field::if_none_match]));
+    call.write = request.method() == http::verb::put;
+    if (call.write) call.body = std::make_shared<const std::string>(std::move(request.body()));
+    return call;
+}
+
+net::HttpResponse response_of(core::Answer answer) {
+    using Kind = core::Answer::Kind;
+    net::HttpResponse r{http::status::bad_gateway, 11};
+    switch (answer.kind) {
+        case Kind::served:
+            r.result(http::status::ok);
+            r.body() = std::move(answer.body);
+            break;
+        case Kind::unchanged: r.result(http::status::not_modified); break;
+        case Kind::refused:
+            r.result(http::status::service_unavailable);
+            if (answer.hold_off > core::Span{})
+                r.set("Hold-Off-Ms", std::to_string(answer.hold_off / std::chrono::milliseconds{1}));
+            break;
+        case Kind::failed:
+            if (answer.timed_out) r.result(http::status::gateway_timeout);
+            break;
+        case Kind::referred: break;  // never asked for by this front
+    }
+    if (!answer.tag.empty()) r.set(http::field::etag, "\"" + answer.tag + "\"");
+    return r;
+}
+
+void Platform::handle(const std::shared_ptr<net::HttpSession>& session, net::HttpRequest request) {
+    if (request.method() == http::verb::get && request.target() == "/alive") {
+        net::HttpResponse r{lifecycle_.ready() ? http::status::ok : http::status::service_unavailable, 11};
+        r.body() = Lifecycle::name(lifecycle_.phase());
+        return session->respond(std::move(r));
+    }
+    if (request.method() == http::verb::get && request.target() == "/counters") {
+        net::HttpResponse r{http::status::ok, 11};
+        r.body() = engine_.counters().text();
+        return session->respond(std::move(r));
+    }
+    auto call = parse_call(std::move(request), clock_.now());
+    if (const auto* why = std::get_if<std::string>(&call)) {
+        log_.line("bad-call", "%s", why->c_str());
+        return session->respond({http::status::bad_request, 11});
+    }
+    const auto id = engine_.take(std::get<core::Call>(std::move(call)), std::make_shared<Reply>(session));
+    if (id) session->when_gone([&engine = engine_, id = *id] { engine.abandon(id); });
+}
+
+}  // namespace silverrail::front
--- /dev/null
+++ b/src/front/platform/platform.h
@@ -0,0 +1,30 @@
+// The platform's protocol: HTTP requests into calls, answers into HTTP responses. No decisions.
+#pragma once
+
+#include <optional>
+#include <variant>
+
+#include "core/engine.h"
+#include "lifecycle.h"
+#include "net/http_server.h"
+
+namespace silverrail::front {
+
+// The call in a request, or the reason why there is none.
+std::variant<core::Call, std::string> parse_call(net::HttpRequest request, core::Time now);
+net::HttpResponse response_of(core::Answer answer);
+
+class Platform {
+public:
+    Platform(core::Engine& engine, const core::Clock& clock, const Lifecycle& lifecycle, Log& log)
+        : engine_(engine), clock_(clock), lifecycle_(lifecycle), log_(log) {}
+    void handle(const std::shared_ptr<net::HttpSession>& session, net::HttpRequest request);
+
+private:
+    core::Engine& engine_;
+    const core::Clock& clock_;
+    const Lifecycle& lifecycle_;
+    Log& log_;
+};
+
+}  // namespace silverrail::front
--- /dev/null
+++ b/src/main.cpp
@@ -0,0 +1,164 @@
+// Wires the program together: configuration, core, upstream, fronts, bulletin, phases.
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+
+#include "config/config.h"
+#include "core/engine.h"
+#include "front/platform/platform.h"
+#include "lifecycle.h"
+#include "net/bulletin.h"
+#include "net/clock.h"
+#include "net/http_server.h"
+#include "net/upstream.h"
+
+namespace silverrail {
+namespace {
+
+using namespace std::chrono_literals;
+
+// Clients hold a third of the descriptors at most; some are kept for listeners, files and the bulletin.
+constexpr std::size_t kReserved = 48;
+// After SIGTERM new connections come for up to 0.4 s, and requests on open ones for 0.2 s more.
+constexpr auto kDrainFor = 700ms;
+
+const char* variable(const char* name) {
+    const char* value = std::getenv(name);
+    return value ? value : "";
+}
+
+net::tcp::endpoint endpoint_of(const std::string& text) {
+    const auto e = config::parse_endpoint(text);
+    if (!e) throw config::ConfigError("not an address and a port: " + text);
+    return {net::asio::ip::make_address(e->host), e->port};
+}
+
+net::UpstreamLimits upstream_limits(const config::Config& c) {
+    net::UpstreamLimits limits;
+    const std::size_t clients = c.sockets / 3;
+    limits.sockets = c.sockets > clients + kReserved + 16 ? c.sockets - clients - kReserved : 16;
+    if (c.connect_timeout > winchflow::Span{}) limits.connect_timeout = c.connect_timeout;
+    // A connection that both sides may close at the same moment is not worth keeping.
+    if (c.conn_idle > winchflow::Span{}) limits.idle = c.conn_idle * 2 / 3;
+    return limits;
+}
+
+class Program {
+public:
+    explicit Program(config::Config config)
+        : config_(std::move(config)),
+          timers_(io_),
+          upstream_(io_, upstream_limits(config_), clock_, log_),
+          engine_(config_.settings, config_.seed, config_.sockets, clock_, timers_, upstream_, log_),
+          platform_(engine_, clock_, lifecycle_, log_),
+          server_(
+              io_, endpoint_of(config_.listen), server_limits(),
+              [this](auto session, auto request) { platform_.handle(session, std::move(request)); }, log_),
+          signals_(io_, SIGTERM, SIGINT, SIGUSR1),
+          poll_(io_) {
+        lifecycle_.on_change([this](Lifecycle::Phase phase) { entered(phase); });
+    }
+
+    int run() {
+        for (const Json::Value& item : config_.known) take(item);
+        if (!config_.bulletin.empty()) {
+            bulletin_.emplace(
+                io_, endpoint_of(config_.bulletin), config_.known_no,
+                [this](std::int64_t, std::string_view data) {
+                    if (const auto json = config::parse_json(data))
+                        take(*json);
+                    else
+                        log_.line("bad-event", "%.*s", static_cast<int>(data.size()), data.data());
+                },
+                log_);
+            bulletin_->start();
+        }
+        server_.when_out_of_descriptors([this] { upstream_.shed(32); });
+        server_.start();
+        wait_for_signal();
+        lifecycle_.enter(Lifecycle::Phase::ready);
+        io_.run();
+        print_counters();
+        return 0;
+    }
+
+private:
+    net::HttpLimits server_limits() const {
+        net::HttpLimits limits;
+        limits.connections = config_.sockets / 3 + kReserved / 2;
+        return limits;
+    }
+    void take(const Json::Value& item) {
+        auto event = config::parse_event(item, clock_.now(), clock_.unix_ms());
+        if (!event) return log_.line("bad-event", "not one that is known");
+        std::visit([this](const auto& what) { engine_.apply(what); }, event->what);
+    }
+    void wait_for_signal() {
+        signals_.async_wait([this](const net::error_code& error, int signal) {
+            if (error) return;
+            if (signal == SIGUSR1)
+                print_counters();
+            else
+                lifecycle_.enter(Lifecycle::Phase::draining);
+            wait_for_signal();
+        });
+    }
+    void entered(Lifecycle::Phase phase) {
+        log_.line("phase", "%s, %zu open calls, %zu client connections",
+                  std::string{Lifecycle::name(phase)}.c_str(), engine_.open(), server_.connections());
+        if (phase == Lifecycle::Phase::draining) {
+            poll_.expires_after(kDrainFor);
+            poll_.async_wait([this](const net::error_code& error) {
+                if (!error) lifecycle_.enter(Lifecycle::Phase::finishing);
+            });
+        } else if (phase == Lifecycle::Phase::finishing) {
+            server_.stop();
+            finish();
+        } else if (phase == Lifecycle::Phase::stopped) {
+            io_.stop();
+        }
+    }
+    // Ends once every call has its answer and every answer is written.
+    void finish() {
+        if (engine_.open() == 0 && server_.connections() == 0) {
+            lifecycle_.enter(Lifecycle::Phase::stopped);
+            return;
+        }
+        poll_.expires_after(10ms);
+        poll_.async_wait([this](const net::error_code& error) {
+            if (!error) finish();
+        });
+    }
+    void print_counters() { std::fputs(engine_.counters().text().c_str(), stderr); }
+
+    config::Config config_;
+    Log log_;
+    net::asio::io_context io_{1};
+    net::SystemClock clock_;
+    net::TimerQueue timers_;
+    net::Upstream upstream_;
+    Lifecycle lifecycle_;
+    core::Engine engine_;
+    front::Platform platform_;
+    net::HttpServer server_;
+    net::asio::signal_set signals_;
+    net::asio::steady_timer poll_;
+    std::optional<net::Bulletin> bulletin_;
+};
+
+}  // namespace
+}  // namespace silverrail
+
+int main() {
+    try {
+        std::signal(SIGPIPE, SIG_IGN);
+        auto config = silverrail::config::load_config(silverrail::variable("EDGE_CONFIG"));
+        if (const std::string listen = silverrail::variable("EDGE_LISTEN"); !listen.empty())
+            config.listen = listen;
+        silverrail::Program program{std::move(config)};
+        return program.run();
+    } catch (const std::exception& e) {
+        std::fprintf(stderr, "fatal %s\n", e.what());
+        return 1;
+    }
+}
--- /dev/null
+++ b/src/net/bulletin.cpp
@@ -0,0 +1,121 @@
+#include "net/bulletin.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+namespace silverrail::net {
+
+namespace {
+constexpr std::chrono::milliseconds kFirstPause{50};
+constexpr std::chrono::milliseconds kLongestPause{500};
+constexpr std::chrono::milliseconds kConnect{1000};
+}  // namespace
+
+struct Bulletin::Link {
+    explicit Link(asio::io_context& io) : socket(io), silence(io) { parser.body_limit(boost::none); }
+    void close() {
+        over = true;
+        silence.cancel();
+        error_code ignored;
+        socket.close(ignored);
+    }
+    tcp::socket socket;
+    asio::steady_timer silence;
+    http::request<http::empty_body> request;
+    beast::flat_buffer buffer{64 * 1024};
+    http::response_parser<http::buffer_body> parser;
+    std::array<char, 16 * 1024> bytes{};
+    SseParser events;
+    bool over = false;
+};
+
+Bulletin::Bulletin(asio::io_context& io, tcp::endpoint at, std::int64_t last, Take take, Log& log)
+    : io_(io), at_(std::move(at)), last_(last), take_(std::move(take)), log_(log), wait_(io) {}
+
+Bulletin::~Bulletin() {
+    if (link_) link_->close();
+}
+
+void Bulletin::connect() {
+    const auto link = link_ = std::make_shared<Link>(io_);
+    link->silence.expires_after(kConnect);
+    link->silence.async_wait([this, link](const error_code& error) {
+        if (!error && !link->over) again(link, "no connection in time");
+    });
+    link->socket.async_connect(at_, [this, link](const error_code& error) {
+        if (link->over) return;
+        if (error) return again(link, error.message().c_str());
+        request(link);
+    });
+}
+
+void Bulletin::request(const std::shared_ptr<Link>& link) {
+    link->request = {http::verb::get, "/bulletins", 11};
+    link->request.set(http::field::host, at_.address().to_string() + ":" + std::to_string(at_.port()));
+    link->request.set(http::field::accept, "text/event-stream");
+    link->request.set("Last-Event-ID", std::to_string(last_));
+    arm(link);
+    http::async_write(link->socket, link->request, [this, link](const error_code& error, std::size_t) {
+        if (link->over) return;
+        if (error) return again(link, error.message().c_str());
+        http::async_read_header(
+            link->socket, link->buffer, link->parser, [this, link](const error_code& e, std::size_t) {
+                if (link->over) return;
+                if (e) return again(link, e.message().c_str());
+                if (link->parser.get().result() != http::status::ok) return again(link, "not 200");
+                log_.line("bulletin-up", "resuming after event %lld", static_cast<long long>(last_));
+                pause_ = {};
+                read(link);
+            });
+    });
+}
+
+void Bulletin::read(const std::shared_ptr<Link>& link) {
+    arm(link);
+    auto& body = link->parser.get().body();
+    body.data = link->bytes.data();
+    body.size = link->bytes.size();
+    http::async_read_some(
+        link->socket, link->buffer, link->parser, [this, link](error_code error, std::size_t) {
+            if (link->over) return;
+            if (error == http::error::need_buffer) error = {};
+            const auto got = link->bytes.size() - link->parser.get().body().size;
+            const bool read_all =
+                link->events.feed({link->bytes.data(), got}, [this](const auto& event) { take(event); });
+            if (!read_all) return again(link, "an event over the bound");
+            if (error) return again(link, error.message().c_str());
+            if (link->parser.is_done()) return again(link, "ended");
+            read(link);
+        });
+}
+
+void Bulletin::arm(const std::shared_ptr<Link>& link) {
+    link->silence.expires_after(kSilence);
+    link->silence.async_wait([this, link](const error_code& error) {
+        if (!error && !link->over) again(link, "silent");
+    });
+}
+
+void Bulletin::again(const std::shared_ptr<Link>& link, const char* why) {
+    if (std::exchange(link->over, true)) return;
+    log_.line("bulletin-down", "%s; last event %lld", why, static_cast<long long>(last_));
+    link->close();
+    if (link_ == link) link_ = nullptr;
+    wait_.expires_after(pause_);
+    pause_ = std::clamp(pause_ * 2, kFirstPause, kLongestPause);
+    wait_.async_wait([this](const error_code& error) {
+        if (!error) connect();
+    });
+}
+
+void Bulletin::take(const SseParser::Event& event) {
+    std::int64_t no = 0;
+    const auto [end, error] = std::from_chars(event.id.data(), event.id.data() + event.id.size(), no);
+    if (error != std::errc{} || end != event.id.data() + event.id.size()) no = 0;
+    if (no != 0 && no <= last_) return;  // told before
+    take_(no, event.data);
+    if (no != 0) last_ = no;
+}
+
+}  // namespace silverrail::net
--- /dev/null
+++ b/src/net/bulletin.h
@@ -0,0 +1,43 @@
+// Follows the bulletin: connects, resumes after the last event, and connects anew when it falls silent.
+#pragma once
+
+#include <functional>
+#include <memory>
+
+#include "log/log.h"
+#include "net/asio.h"
+#include "net/sse.h"
+
+namespace silverrail::net {
+
+class Bulletin {
+public:
+    using Take = std::function<void(std::int64_t no, std::string_view data)>;
+    // A comment comes each second: past this the connection is taken for dead.
+    static constexpr std::chrono::milliseconds kSilence{2500};
+
+    Bulletin(asio::io_context& io, tcp::endpoint at, std::int64_t last, Take take, Log& log);
+    ~Bulletin();
+    void start() { connect(); }
+    std::int64_t last() const { return last_; }
+
+private:
+    struct Link;
+    void connect();
+    void request(const std::shared_ptr<Link>& link);
+    void read(const std::shared_ptr<Link>& link);
+    void arm(const std::shared_ptr<Link>& link);
+    void again(const std::shared_ptr<Link>& link, const char* why);
+    void take(const SseParser::Event& event);
+
+    asio::io_context& io_;
+    tcp::endpoint at_;
+    std::int64_t last_;
+    Take take_;
+    Log& log_;
+    asio::steady_timer wait_;
+    std::shared_ptr<Link> link_;
+    std::chrono::milliseconds pause_{0};
+};
+
+}  // namespace silverrail::net
--- /dev/null
+++ b/src/net/http_server.cpp
@@ -0,0 +1,189 @@
+#include "net/http_server.h"
+
+#include <sys/socket.h>
+
+namespace silverrail::net {
+
+HttpSession::HttpSession(tcp::socket socket, HttpServer& server)
+    : socket_(std::move(socket)), server_(server), limit_(socket_.get_executor()) {}
+
+void HttpSession::read() {
+    state_ = State::reading;
+    parser_.emplace();
+    parser_->header_limit(server_.limits_.header);
+    parser_->body_limit(server_.limits_.body);
+    if (buffer_.size() == 0) {
+        // Idle: nothing is held for it and no limit runs until its first byte.
+        socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](const error_code& error) {
+            if (self->state_ != State::reading) return;
+            if (error) return self->close();
+            self->on_first_byte();
+        });
+        return;
+    }
+    on_first_byte();
+}
+
+void HttpSession::on_first_byte() {
+    limit_.expires_after(server_.limits_.half_read);
+    limit_.async_wait([weak = weak_from_this()](const error_code& error) {
+        const auto self = weak.lock();
+        if (!error && self && self->state_ == State::reading) self->close();
+    });
+    http::async_read(
+        socket_, buffer_, *parser_,
+        [self = shared_from_this()](const error_code& error, std::size_t) { self->on_read(error); });
+}
+
+void HttpSession::on_read(const error_code& error) {
+    if (state_ != State::reading) return;
+    limit_.cancel();
+    // Success has the system's category too.
+    if (error == http::error::end_of_stream ||
+        (error && error.category() == boost::system::system_category()))
+        return close();
+    if (error) {
+        // Not HTTP, or over a limit: said once, as the state of the stream is not known any more.
+        server_.log_.line("bad-request", "%s", error.message().c_str());
+        keep_alive_ = false;
+        state_ = State::open;
+        HttpResponse response{http::status::bad_request, 11};
+        if (error == http::error::body_limit) response.result(http::status::payload_too_large);
+        if (error == http::error::header_limit)
+            response.result(http::status::request_header_fields_too_large);
+        return respond(std::move(response));
+    }
+    HttpRequest request = parser_->release();
+    parser_.reset();
+    keep_alive_ = request.keep_alive();
+    state_ = State::open;
+    server_.handler_(shared_from_this(), std::move(request));
+    if (state_ == State::open) watch();
+}
+
+// While an answer is owed: has the client gone?
+void HttpSession::watch() {
+    if (buffer_.size() > 0) return;  // it has sent more already; its end would not be seen behind that
+    socket_.async_wait(tcp::socket::wait_read,
+                       [self = shared_from_this()](const error_code& error) { self->on_watch(error); });
+}
+
+void HttpSession::on_watch(const error_code& error) {
+    if (state_ != State::open || error == asio::error::operation_aborted) return;
+    char byte = 0;
+    const auto got = ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (got > 0) return;  // the next request, early: it waits in the socket
+    if (got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) return watch();
+    lost();
+}
+
+void HttpSession::lost() {
+    const auto self = shared_from_this();
+    const auto gone = std::exchange(gone_, nullptr);
+    close();
+    if (gone) gone();
+}
+
+void HttpSession::respond(HttpResponse response) {
+    if (state_ != State::open) return;
+    state_ = State::writing;
+    gone_ = nullptr;
+    response.keep_alive(keep_alive_ && !server_.stopping_);
+    keep_alive_ = response.keep_alive();
+    response.prepare_payload();
+    response_.emplace(std::move(response));
+    socket_.cancel();  // the watch
+    http::async_write(socket_, *response_, [self = shared_from_this()](const error_code& error, std::size_t) {
+        self->response_.reset();
+        // An answer that breaks off is cut short for the client to see: its length was told.
+        if (error || !self->keep_alive_ || self->server_.stopping_) return self->close();
+        self->read();
+    });
+}
+
+void HttpSession::close() {
+    if (state_ == State::closed) return;
+    state_ = State::closed;
+    limit_.cancel();
+    error_code ignored;
+    socket_.shutdown(tcp::socket::shutdown_send, ignored);
+    socket_.close(ignored);
+    server_.sessions_.erase(this);
+}
+
+void HttpSession::close_if_idle() {
+    if (state_ != State::reading || buffer_.size() > 0 || (parser_ && parser_->got_some())) return;
+    char byte = 0;
+    const auto got = ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (got <= 0) close();
+}
+
+HttpServer::HttpServer(asio::io_context& io, const tcp::endpoint& at, HttpLimits limits, Handler handler,
+                       Log& log)
+    : io_(io), acceptor_(io), retry_(io), limits_(limits), handler_(std::move(handler)), log_(log) {
+    acceptor_.open(at.protocol());
+    acceptor_.set_option(tcp::acceptor::reuse_address(true));
+    acceptor_.bind(at);
+    acceptor_.listen(1024);
+    acceptor_.non_blocking(true);
+}
+
+HttpServer::~HttpServer() {
+    for (auto& [session, weak] : std::exchange(sessions_, {}))
+        if (const auto alive = weak.lock()) alive->close();
+}
+
+void HttpServer::accept() {
+    acceptor_.async_accept(
+        [this](const error_code& error, tcp::socket socket) { on_accept(error, std::move(socket)); });
+}
+
+void HttpServer::on_accept(const error_code& error, tcp::socket socket) {
+    if (stopping_ || error == asio::error::operation_aborted) return;
+    if (error == asio::error::no_descriptors || error == asio::error::no_buffer_space ||
+        error == asio::error::no_memory || error.value() == ENFILE) {
+        // Guards a busy loop: the connection stays in the backlog while some descriptors are freed.
+        log_.line("no-descriptors", "accept: %s", error.message().c_str());
+        if (shed_) shed_();
+        return pause();
+    }
+    if (!error) admit(std::move(socket));
+    accept();
+}
+
+void HttpServer::pause() {
+    retry_.expires_after(std::chrono::milliseconds{20});
+    retry_.async_wait([this](const error_code& e) {
+        if (!e && !stopping_) accept();
+    });
+}
+
+void HttpServer::admit(tcp::socket socket) {
+    if (sessions_.size() >= limits_.connections) {
+        log_.line("too-many-clients", "%zu connections", sessions_.size());
+        return;  // closed
+    }
+    error_code ignored;
+    socket.set_option(tcp::no_delay(true), ignored);
+    const auto session = std::make_shared<HttpSession>(std::move(socket), *this);
+    sessions_.emplace(session.get(), session);
+    session->start();
+}
+
+void HttpServer::stop() {
+    if (std::exchange(stopping_, true)) return;
+    // Connections that the machine has accepted for us are ours to answer.
+    error_code error;
+    while (true) {
+        tcp::socket socket{io_};
+        acceptor_.accept(socket, error);
+        if (error) break;
+        admit(std::move(socket));
+    }
+    acceptor_.close(error);
+    auto sessions = sessions_;
+    for (auto& [session, weak] : sessions)
+        if (const auto alive = weak.lock()) alive->close_if_idle();
+}
+
+}  // namespace silverrail::net
--- /dev/null
+++ b/src/net/http_server.h
@@ -0,0 +1,91 @@
+// The HTTP/1.1 side towards clients: one request at a time on a connection, bounded in every way.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+
+#include "log/log.h"
+#include "net/asio.h"
+
+namespace silverrail::net {
+
+using HttpRequest = http::request<http::string_body>;
+using HttpResponse = http::response<http::string_body>;
+
+struct HttpLimits {
+    std::uint32_t header = 8 * 1024;
+    std::uint64_t body = 64 * 1024;
+    std::size_t connections = 400;
+    std::chrono::milliseconds half_read{10'000};  // from a request's first byte to its last
+};
+
+class HttpServer;
+
+// One connection. It lives while its operations do.
+class HttpSession : public std::enable_shared_from_this<HttpSession> {
+public:
+    HttpSession(tcp::socket socket, HttpServer& server);
+    void start() { read(); }
+    // The one answer to the request that is open; ignored once the client has gone.
+    void respond(HttpResponse response);
+    // Called once if the client goes away before its answer.
+    void when_gone(std::function<void()> action) { gone_ = std::move(action); }
+    void close();
+    void close_if_idle();
+
+private:
+    enum class State { reading, open, writing, closed };
+    void read();
+    void on_first_byte();
+    void on_read(const error_code& error);
+    void watch();
+    void on_watch(const error_code& error);
+    void lost();
+
+    tcp::socket socket_;
+    HttpServer& server_;
+    beast::flat_buffer buffer_;
+    std::optional<http::request_parser<http::string_body>> parser_;
+    std::optional<HttpResponse> response_;
+    std::function<void()> gone_;
+    asio::steady_timer limit_;
+    State state_ = State::reading;
+    bool keep_alive_ = false;
+};
+
+class HttpServer {
+public:
+    using Handler = std::function<void(std::shared_ptr<HttpSession>, HttpRequest)>;
+
+    // Listens at once; throws boost::system::system_error if it cannot.
+    HttpServer(asio::io_context& io, const tcp::endpoint& at, HttpLimits limits, Handler handler, Log& log);
+    ~HttpServer();
+    void start() { accept(); }
+    // Takes what has come up to now, then nothing more; idle connections are closed, others after answering.
+    void stop();
+    tcp::endpoint local() const { return acceptor_.local_endpoint(); }
+    std::size_t connections() const { return sessions_.size(); }
+    // Frees descriptors when the process runs out of them.
+    void when_out_of_descriptors(std::function<void()> action) { shed_ = std::move(action); }
+
+private:
+    friend class HttpSession;
+    void accept();
+    void on_accept(const error_code& error, tcp::socket socket);
+    void admit(tcp::socket socket);
+    void pause();
+
+    asio::io_context& io_;
+    tcp::acceptor acceptor_;
+    asio::steady_timer retry_;
+    HttpLimits limits_;
+    Handler handler_;
+    Log& log_;
+    std::function<void()> shed_;
+    std::map<HttpSession*, std::weak_ptr<HttpSession>> sessions_;
+    bool stopping_ = false;
+};
+
+}  // namespace silverrail::net
--- /dev/null
+++ b/src/net/upstream.cpp
@@ -0,0 +1,390 @@
+#include "net/upstream.h"
+
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+#include "config/config.h"
+
+namespace silverrail::net {
+
+namespace {
+
+using core::AttemptEnd;
+using core::Ending;
+using core::Note;
+using namespace std::chrono_literals;
+
+std::string_view view(beast::string_view text) { return {text.data(), text.size()}; }
+
+double number(std::string_view text) {
+    double value = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    return error == std::errc{} && end == text.data() + text.size() ? value : -1;
+}
+
+}  // namespace
+
+Note note_of(std::string_view word) {
+    static constexpr std::array<std::string_view, 10> kWords{
+        "hit",         "filled",    "via_origin", "joined",  "stale",
+        "src_refused", "src_broke", "src_lacks",  "no_slot", "origin_failed"};
+    const auto at = std::find(kWords.begin(), kWords.end(), word);
+    return at == kWords.end() ? Note::none : static_cast<Note>(at - kWords.begin() + 1);
+}
+
+winchflow::Load load_of(std::string_view text) {
+    winchflow::Load load;
+    while (!text.empty()) {
+        const auto end = std::min(text.find(';'), text.size());
+        const std::string_view pair = text.substr(0, end);
+        text.remove_prefix(std::min(end + 1, text.size()));
+        const auto colon = pair.find(':');
+        if (colon == std::string_view::npos) continue;
+        const std::string_view name = pair.substr(0, colon);
+        const double value = number(pair.substr(colon + 1));
+        if (value < 0) continue;
+        if (name == "inflight" || name == "concurrent") load.in_flight = value;
+        if (name == "util" || name == "load_share") load.utilisation = value;
+        if (name == "x0") load.hit_share = value;
+        if (name == "x1") load.link_fullness = value;
+    }
+    return load;
+}
+
+http::request<http::string_body> box_request(const core::Order& order, core::Span oldest, core::Span left) {
+    const core::Call& call = *order.call;
+    http::request<http::string_body> r{
+        call.write ? http::verb::put : http::verb::get,
+        "/obj/" + call.class_name + "/" + call.object + "/" + std::to_string(call.part), 11};
+    const auto ms = [](core::Span s) { return std::to_string(std::max<std::int64_t>(1, s / 1ms)); };
+    r.set(http::field::host, order.address);
+    r.set("Call-Id", call.trace);
+    r.set("Call-Ms", ms(left));
+    if (order.source) r.set("Miss-To", order.source->address);
+    if (order.rank > 0) r.set("Store-As", std::to_string(order.rank));
+    if (oldest > core::Span{}) r.set("No-Older-Than", ms(oldest));
+    std::string handling;
+    const auto say = [&handling](const char* word) {
+        if (!handling.empty()) handling += '+';
+        handling += word;
+    };
+    if (order.join) say("j");
+    if (order.held_only) say("h");
+    if (order.renew) say("r");
+    if (!handling.empty()) r.set("Handling", handling);
+    if (!call.have.empty()) r.set("Have", call.have);
+    if (call.body) r.body() = *call.body;
+    if (call.write) r.prepare_payload();
+    return r;
+}
+
+AttemptEnd box_answer(http::response<http::string_body> answer) {
+    AttemptEnd end;
+    const bool never_ran = view(answer["Not-Begun"]) == "1";
+    end.note = note_of(view(answer["Detail"]));
+    end.load = load_of(view(answer["Backend-Load"]));
+    if (const double waited = number(view(answer["Fill-Wait"])); waited >= 0 && waited < 1e9)
+        end.source_wait =
+            std::chrono::duration_cast<core::Span>(std::chrono::duration<double, std::milli>{waited});
+    switch (answer.result_int()) {
+        case 200:
+        case 304:
+            end.ending = Ending::good;
+            end.unchanged = answer.result_int() == 304;
+            end.tag = view(answer["Tag"]);
+            end.body = std::move(answer.body());
+            break;
+        case 404: end.ending = Ending::miss; break;
+        case 503: end.ending = never_ran ? Ending::full : Ending::error; break;
+        case 504: end.ending = never_ran ? Ending::not_sent : Ending::error; break;
+        default: end.ending = Ending::error; break;
+    }
+    return end;
+}
+
+struct Upstream::Link {
+    Link(asio::io_context& io, std::shared_ptr<std::size_t> open) : socket(io), count(std::move(open)) {
+        ++*count;
+    }
+    ~Link() { --*count; }
+    Link(const Link&) = delete;
+    Link& operator=(const Link&) = delete;
+    void close() {
+        error_code ignored;
+        socket.close(ignored);
+    }
+    // No answer is expected on an idle connection: whatever can be read, or its end, makes it stale.
+    bool stale() {
+        char byte = 0;
+        const auto got = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        return got >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+    }
+    tcp::socket socket;
+    beast::flat_buffer buffer;
+    std::shared_ptr<std::size_t> count;
+    core::Time idle_since{};
+    std::uint64_t generation = 0;
+    bool idle = false;
+};
+
+struct Upstream::Attempt {
+    Attempt(asio::io_context& io, core::Order o, core::AttemptEvents& e)
+        : order(std::move(o)), events(&e), limit(io) {}
+    core::Order order;
+    core::AttemptEvents* events;
+    asio::steady_timer limit;  // on connecting
+    std::shared_ptr<Link> link;
+    http::request<http::string_body> request;
+    std::optional<http::response_parser<http::string_body>> parser;
+    bool bytes_out = false;
+    bool over = false;
+};
+
+Upstream::Upstream(asio::io_context& io, UpstreamLimits limits, const core::Clock& clock, Log& log)
+    : io_(io), limits_(limits), clock_(clock), log_(log), sweeper_(io) {
+    sweep();
+}
+
+Upstream::~Upstream() {
+    down_ = true;
+    for (auto& [key, attempt] : attempts_) {
+        attempt->over = true;
+        if (attempt->link) attempt->link->close();
+    }
+    for (auto& [id, box] : boxes_)
+        for (auto& link : box.idle) link->close();
+}
+
+void Upstream::start(core::Order order, core::AttemptEvents& events) {
+    const core::AttemptKey key = order.key;
+    auto attempt = std::make_shared<Attempt>(io_, std::move(order), events);
+    attempts_.emplace(key, attempt);
+    begin(attempt);
+}
+
+// On a kept connection, else on a new one, else when one is free.
+void Upstream::begin(const std::shared_ptr<Attempt>& attempt) {
+    attempt->link = take_idle(attempt->order.target);
+    if (attempt->link) return write(attempt);
+    if (!make_room()) {
+        if (waiting_.size() >= limits_.waiting) {
+            log_.line("upstream-full", "%zu sockets, %zu wait", *open_, waiting_.size());
+            return end(attempt, {.ending = Ending::not_sent});
+        }
+        waiting_.push_back(attempt);
+        return;
+    }
+    connect(attempt);
+}
+
+void Upstream::connect(const std::shared_ptr<Attempt>& attempt) {
+    const auto to = config::parse_endpoint(attempt->order.address);
+    error_code error;
+    const auto host = to ? asio::ip::make_address(to->host, error) : asio::ip::address{};
+    if (!to || error) {
+        log_.line("bad-address", "box %s at %s", attempt->order.target.address.c_str(),
+                  attempt->order.address.c_str());
+        return end(attempt, {.ending = Ending::not_sent});
+    }
+    const tcp::endpoint endpoint{host, to->port};
+    attempt->link = std::make_shared<Link>(io_, open_);
+    attempt->link->generation = boxes_[attempt->order.target].generation;
+    attempt->link->socket.open(endpoint.protocol(), error);
+    if (error) {
+        // No descriptor: nothing was sent, and the box has no part in it.
+        log_.line("no-descriptors", "connect: %s", error.message().c_str());
+        shed(16);
+        attempt->link->socket.open(endpoint.protocol(), error);
+        if (error) return end(attempt, {.ending = Ending::not_sent});
+    }
+    attempt->link->socket.set_option(tcp::no_delay(true), error);
+    attempt->limit.expires_after(limits_.connect_timeout);
+    attempt->limit.async_wait([this, attempt](const error_code& e) {
+        if (e || attempt->over || !attempt->link || attempt->bytes_out) return;
+        end(attempt, {.ending = Ending::no_connection});
+    });
+    attempt->link->socket.async_connect(endpoint, [this, attempt, link = attempt->link](const error_code& e) {
+        if (attempt->over) return;
+        attempt->limit.cancel();
+        if (e) {
+            if (e != asio::error::connection_refused && e != asio::error::operation_aborted)
+                log_.line("connect-failed", "box %s: %s", attempt->order.target.address.c_str(),
+                          e.message().c_str());
+            return end(attempt, {.ending = Ending::no_connection});
+        }
+        write(attempt);
+    });
+}
+
+void Upstream::write(const std::shared_ptr<Attempt>& attempt) {
+    const auto oldest = attempt->events->before_first_byte(attempt->order.key);
+    if (!oldest) {
+        if (!attempt->over) end(attempt, {.ending = Ending::not_sent});
+        return;
+    }
+    attempt->request = box_request(attempt->order, *oldest, attempt->order.give_up - clock_.now());
+    attempt->bytes_out = true;  // from here on it may run
+    http::async_write(attempt->link->socket, attempt->request,
+                      [attempt, link = attempt->link](const error_code& error, std::size_t) {
+                          if (attempt->over || !error) return;
+                          // An answer may have come before the whole request was read; the read tells.
+                          if (error == asio::error::operation_aborted) return;
+                          error_code ignored;
+                          link->socket.shutdown(tcp::socket::shutdown_send, ignored);
+                      });
+    read(attempt);
+}
+
+void Upstream::read(const std::shared_ptr<Attempt>& attempt) {
+    attempt->parser.emplace();
+    attempt->parser->body_limit(limits_.answer);
+    attempt->parser->header_limit(limits_.header);
+    http::async_read(
+        attempt->link->socket, attempt->link->buffer, *attempt->parser,
+        // The operation uses the connection until its handler has run, also where the attempt is over.
+        [this, attempt, link = attempt->link](const error_code& error, std::size_t) {
+            on_answer(attempt, error);
+        });
+}
+
+void Upstream::on_answer(const std::shared_ptr<Attempt>& attempt, const error_code& error) {
+    if (attempt->over) return;
+    if (error) {
+        // Bytes are out: it may have run, so it is never sent again from here, also on a stale connection.
+        const bool unreadable =
+            error.category() == http::make_error_code(http::error::bad_version).category();
+        if (unreadable && error != http::error::end_of_stream && error != http::error::partial_message)
+            log_.line("bad-answer", "box %s: %s", attempt->order.target.address.c_str(),
+                      error.message().c_str());
+        return end(attempt, {.ending = Ending::reset});
+    }
+    const bool keeps = attempt->parser->keep_alive();
+    auto answer = attempt->parser->release();
+    if (keeps) keep(attempt);
+    end(attempt, box_answer(std::move(answer)));
+}
+
+void Upstream::end(const std::shared_ptr<Attempt>& attempt, AttemptEnd end) {
+    if (std::exchange(attempt->over, true)) return;
+    attempt->limit.cancel();
+    if (attempt->link) attempt->link->close();
+    attempt->link = nullptr;
+    attempts_.erase(attempt->order.key);
+    attempt->events->ended(attempt->order.key, std::move(end));
+    serve_waiting();
+}
+
+void Upstream::cancel(const core::AttemptKey& key) {
+    auto at = attempts_.find(key);
+    if (at == attempts_.end()) return;
+    const auto attempt = at->second;
+    attempts_.erase(at);
+    attempt->over = true;
+    attempt->limit.cancel();
+    std::erase(waiting_, attempt);
+    if (attempt->link) attempt->link->close();
+    attempt->link = nullptr;
+    serve_waiting();
+}
+
+// The connection goes back to the pool, unless the box has gone or started anew meanwhile.
+void Upstream::keep(const std::shared_ptr<Attempt>& attempt) {
+    auto link = std::exchange(attempt->link, nullptr);
+    Box& box = boxes_[attempt->order.target];
+    if (link->generation != box.generation || box.idle.size() >= limits_.idle_each ||
+        link->buffer.size() > 0) {
+        link->close();
+        return;
+    }
+    link->buffer.clear();
+    link->idle_since = clock_.now();
+    link->idle = true;
+    box.idle.push_back(link);
+    watch(attempt->order.target, link);
+}
+
+void Upstream::watch(const core::CacheId& box, const std::shared_ptr<Link>& link) {
+    link->socket.async_wait(tcp::socket::wait_read,
+                            [this, box, weak = std::weak_ptr{link}](const error_code& error) {
+                                if (down_ || error == asio::error::operation_aborted) return;
+                                const auto idle = weak.lock();
+                                if (!idle || !idle->idle) return;
+                                idle->close();
+                                boxes_[box].idle.remove(idle);
+                                serve_waiting();
+                            });
+}
+
+std::shared_ptr<Upstream::Link> Upstream::take_idle(const core::CacheId& id) {
+    auto at = boxes_.find(id);
+    if (at == boxes_.end()) return nullptr;
+    auto& idle = at->second.idle;
+    while (!idle.empty()) {
+        const auto link = idle.back();
+        idle.pop_back();
+        link->idle = false;
+        error_code ignored;
+        link->socket.cancel(ignored);  // the watch
+        if (!link->stale()) return link;
+        link->close();
+    }
+    return nullptr;
+}
+
+void Upstream::forget(const core::CacheId& id) {
+    Box& box = boxes_[id];
+    ++box.generation;
+    for (auto& link : box.idle) {
+        link->idle = false;
+        link->close();
+    }
+    box.idle.clear();
+    serve_waiting();
+}
+
+bool Upstream::make_room() {
+    if (*open_ >= limits_.sockets) shed(1);
+    return *open_ < limits_.sockets;
+}
+
+void Upstream::shed(std::size_t count) {
+    for (; count > 0; --count) {
+        Box* longest = nullptr;
+        for (auto& [id, box] : boxes_)
+            if (!box.idle.empty() &&
+                (!longest || box.idle.front()->idle_since < longest->idle.front()->idle_since))
+                longest = &box;
+        if (!longest) return;
+        longest->idle.front()->idle = false;
+        longest->idle.front()->close();
+        longest->idle.pop_front();
+    }
+}
+
+void Upstream::serve_waiting() {
+    while (!waiting_.empty() && make_room()) {
+        const auto attempt = waiting_.front();
+        waiting_.pop_front();
+        if (!attempt->over) begin(attempt);
+    }
+}
+
+void Upstream::sweep() {
+    const core::Time now = clock_.now();
+    for (auto& [id, box] : boxes_)
+        while (!box.idle.empty() && box.idle.front()->idle_since + limits_.idle < now) {
+            box.idle.front()->idle = false;
+            box.idle.front()->close();
+            box.idle.pop_front();
+        }
+    std::erase_if(boxes_, [](const auto& e) { return e.second.idle.empty() && e.second.generation == 0; });
+    sweeper_.expires_after(std::chrono::seconds{1});
+    sweeper_.async_wait([this](const error_code& error) {
+        if (!error) sweep();
+    });
+}
+
+}  // namespace silverrail::net
--- /dev/null
+++ b/src/net/upstream.h
@@ -0,0 +1,75 @@
+// Attempts on the wire: a bounded pool of connections to the boxes, keyed by the box's id.
+#pragma once
+
+#include <deque>
+#include <list>
+#include <map>
+#include <memory>
+
+#include "core/ports.h"
+#include "log/log.h"
+#include "net/asio.h"
+
+namespace silverrail::net {
+
+struct UpstreamLimits {
+    std::size_t sockets = 600;   // open at once, to all boxes
+    std::size_t waiting = 512;   // attempts that wait for one
+    std::size_t idle_each = 64;  // kept open to one box
+    std::uint64_t answer = 256 * 1024;
+    std::uint32_t header = 8 * 1024;
+    std::chrono::nanoseconds connect_timeout{std::chrono::milliseconds{400}};
+    std::chrono::nanoseconds idle{std::chrono::seconds{10}};  // less than the boxes' own limit
+};
+
+// The request for one attempt, as the boxes read it. `oldest`: as found at the first byte.
+http::request<http::string_body> box_request(const core::Order& order, core::Span oldest, core::Span left);
+// What a box's whole answer means.
+core::AttemptEnd box_answer(http::response<http::string_body> answer);
+core::Note note_of(std::string_view word);
+winchflow::Load load_of(std::string_view text);
+
+class Upstream : public core::AttemptSender {
+public:
+    Upstream(asio::io_context& io, UpstreamLimits limits, const core::Clock& clock, Log& log);
+    ~Upstream() override;
+    void start(core::Order order, core::AttemptEvents& events) override;
+    void cancel(const core::AttemptKey& key) override;
+    void forget(const core::CacheId& box) override;
+    // Closes up to `count` idle connections, longest idle first.
+    void shed(std::size_t count);
+    std::size_t sockets() const { return *open_; }
+
+private:
+    struct Link;
+    struct Attempt;
+    struct Box {
+        std::list<std::shared_ptr<Link>> idle;  // longest idle first
+        std::uint64_t generation = 0;
+    };
+    void begin(const std::shared_ptr<Attempt>& attempt);
+    void connect(const std::shared_ptr<Attempt>& attempt);
+    void write(const std::shared_ptr<Attempt>& attempt);
+    void read(const std::shared_ptr<Attempt>& attempt);
+    void on_answer(const std::shared_ptr<Attempt>& attempt, const error_code& error);
+    void end(const std::shared_ptr<Attempt>& attempt, core::AttemptEnd end);
+    void keep(const std::shared_ptr<Attempt>& attempt);
+    void watch(const core::CacheId& box, const std::shared_ptr<Link>& link);
+    std::shared_ptr<Link> take_idle(const core::CacheId& box);
+    bool make_room();
+    void serve_waiting();
+    void sweep();
+
+    asio::io_context& io_;
+    UpstreamLimits limits_;
+    const core::Clock& clock_;
+    Log& log_;
+    asio::steady_timer sweeper_;
+    std::map<core::CacheId, Box> boxes_;
+    std::map<core::AttemptKey, std::shared_ptr<Attempt>> attempts_;
+    std::deque<std::shared_ptr<Attempt>> waiting_;
+    std::shared_ptr<std::size_t> open_ = std::make_shared<std::size_t>(0);  // sockets, counted by Link
+    bool down_ = false;
+};
+
+}  // namespace silverrail::net
