--- a/src/net/asio.cpp
+++ b/src/net/asio.cpp
@@ -1,3 +1,4 @@
+#include "net/asio.h"
+
 #include <boost/asio/impl/src.hpp>
 #include <boost/beast/src.hpp>
-#include <utility>
--- a/src/net/asio.h
+++ b/src/net/asio.h
@@ -1,10 +1,13 @@
 // Asio and Beast as this program uses them: compiled once, in asio.cpp.
 #pragma once
 
+// Asio 1.74 uses std::exchange without this header, so it has to come first.
+// clang-format off
+#include <utility>
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
-#include <utility>  // Asio 1.74 forgets it
+// clang-format on
 
 namespace silverrail::net {
 
