Answer DNS queries on the same core: the path from query to named box

A query becomes a call with a deadline; the module's first send names the box. The attempt then ends as 'unseen', which the module books without learning from it: not_sent and cancelled were checked in Router::Brain::judge and both teach something nobody saw (fill trust, a source's pace). The module passes over cold boxes and cold parents for such calls, as one name brings more requests than a budget counts. A send that needs more than a name is refused.

--- a/include/winchflow/router.h
+++ b/include/winchflow/router.h
@@ -113,6 +113,7 @@
     double size_kb = 0;  // 0: not told
     Time deadline{};
     bool is_retry = false;
+    bool referred = false;  // the client goes to the cache itself, and may go on doing so for a while
 };
 struct Started {  // a streamed answer has begun: the attempt now belongs to the client
     RequestId request{};
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -560,6 +560,7 @@
         Member* again = nullptr;
         for (const auto& [score, m] : in_order(Role::cache, key)) {
             if (!usable(*m) || !open_to_use(*m) || !affords(*m, work)) continue;
+            if (r.referred && cold(*m)) continue;  // one name brings more requests than any budget counts
             if (m->outstanding >= room(*m, kFull)) continue;
             if (tried(o, *m)) {
                 if (!again) again = m;
@@ -580,7 +581,7 @@
             for (const auto& [score, m] :
                  in_order(Role::parent, static_cast<std::uint64_t>(o.request.object)))
                 if (usable(*m) && !tried(o, *m) && open_to_use(*m) && affords(*m, work) &&
-                    likely_fills(m) < room(*m, kFull))
+                    !(o.request.referred && cold(*m)) && likely_fills(m) < room(*m, kFull))
                     return m;
         Member* origin = pick_origin();
         if (!origin || class_of(o).uncached || origin_fetches() < origin_room()) return origin;
@@ -598,7 +599,7 @@
         if (r.class_index >= set_.classes.size() || open_.contains(r.id)) return;
         Open& o = open_[r.id];
         o.request = r;
-        retry_budget_ = std::min(kRetryBurst, retry_budget_ + kRetryShare);
+        if (!r.referred) retry_budget_ = std::min(kRetryBurst, retry_budget_ + kRetryShare);
         if (r.size_kb > 0 && set_.flow_kb_per_s > 0)
             learn(work_[r.class_index], r.size_kb / set_.flow_kb_per_s);
         if (!class_of(o).uncached) {
@@ -792,6 +793,7 @@
         Member* source = a.source ? find(*a.source) : nullptr;
         if (target) --target->outstanding;
         if (source) --source->fills_out;
+        if (e.ending == Ending::unseen) return;  // what was charged stands; nothing else was learned
         if (target) judge_target(*target, a, e.ending);
         const bool good = e.ending == Ending::good;
         const bool hit = good && e.note == Note::hit;
--- a/src/core/counters.cpp
+++ b/src/core/counters.cpp
@@ -20,6 +20,7 @@
     put("served", served);
     put("unchanged", unchanged);
     put("referred", referred);
+    put("not_carried", not_carried);
     put("refused", refused);
     put("failed", failed);
     put("abandoned", abandoned);
--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -9,6 +9,8 @@
 constexpr Span kGuardAfter = std::chrono::milliseconds{2};
 // A call that is not admitted is asked to come back when some of the open ones are through.
 constexpr Span kNotAdmittedHoldOff = std::chrono::milliseconds{200};
+// The usual reason is a purge, and its age bound falls away within seconds.
+constexpr Span kNotCarriedHoldOff = std::chrono::milliseconds{1000};
 }  // namespace
 
 Engine::Engine(winchflow::Settings settings, std::uint64_t seed, std::size_t most_open, const Clock& clock,
@@ -39,6 +41,12 @@
     return !index || settings_.classes[*index].effect != winchflow::Effect::pure;
 }
 
+bool Engine::lists_address(bool v6) const {
+    return fleet_.any([&](const Box& box) {
+        return box.entry.zone == settings_.zone && (box.address.find('[') != std::string::npos) == v6;
+    });
+}
+
 const Counters& Engine::counters() {
     counters_.open = open_.size();
     return counters_;
@@ -142,9 +150,10 @@
 
 // The client goes to the box by itself: nobody here will see how that ends, and the module is told so.
 void Engine::refer(OpenCall& open, const Order& order) {
-    const auto address = send_.referral(order, clock_.now());
+    const auto address = send_.referral(order, settings_.parent_kind, clock_.now(), clock_.unix_ms());
     const AttemptKey key = order.key;
-    relay_.answer(open, address ? Relay::referred(*address) : Relay::refused(Span{}, false));
+    if (!address) ++counters_.not_carried;
+    relay_.answer(open, address ? Relay::referred(*address) : Relay::refused(kNotCarriedHoldOff, false));
     ended(key, {.ending = Ending::unseen});
 }
 
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -25,6 +25,8 @@
     bool knows_class(const std::string& name) const;
     // Never to run twice: nothing that repeats by itself may carry it.
     bool unsafe_class(const std::string& name) const;
+    // Is any box of this zone listed with an address of that family?
+    bool lists_address(bool v6) const;
     const Counters& counters();
     winchflow::Router::Sizes sizes() const { return route_.sizes(); }
 
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -28,6 +28,12 @@
     const Box* find(const CacheId& id) const;
     // A new send that names the box, as target or as source, is still in time at `now`.
     bool may_be_named(const CacheId& id, Time now) const;
+    template <class Test>
+    bool any(Test test) const {
+        for (const auto& [id, box] : boxes_)
+            if (!box.barred && test(box)) return true;
+        return false;
+    }
     std::size_t size() const { return boxes_.size(); }
 
 private:
--- a/src/core/send.cpp
+++ b/src/core/send.cpp
@@ -37,10 +37,14 @@
     return tightened ? *bound : order.oldest;
 }
 
-std::optional<std::string> Send::referral(const Order& order, Time now) const {
+std::optional<std::string> Send::referral(const Order& order, const std::string& parent_kind, Time now,
+                                          std::int64_t unix_ms) const {
     // A purge's age bound, a source that may not fetch, a look without a fill: none fits into a name, and
-    // left out they would change what the box does.
+    // left out they would change what the box does. Nor does a source other than the ordinary one.
     if (order.oldest != Span{} || order.held_only || !order.source) return std::nullopt;
+    const Box* source = fleet_.find(*order.source);
+    if (!source || (!parent_kind.empty() && source->entry.kind != parent_kind)) return std::nullopt;
+    if (purges_.bound(*order.call, unix_ms)) return std::nullopt;  // also where its group is not told
     const Box* box = fleet_.find(order.target);
     if (!box || box->barred || !fleet_.may_be_named(order.target, now)) return std::nullopt;
     return box->address;
--- a/src/core/stages.h
+++ b/src/core/stages.h
@@ -58,8 +58,9 @@
     // The oldest copy that will do; absent: it may not be sent any more. `tightened` tells of a late purge.
     std::optional<Span> at_first_byte(const Order& order, Time now, std::int64_t unix_ms,
                                       bool& tightened) const;
-    // A name is all that a referral carries: an order that needs more is not one.
-    std::optional<std::string> referral(const Order& order, Time now) const;
+    // A name is all that a referral carries: an order that needs more is not one. Absent: that is so.
+    std::optional<std::string> referral(const Order& order, const std::string& parent_kind, Time now,
+                                        std::int64_t unix_ms) const;
 
 private:
     const Fleet& fleet_;
--- a/src/core/take_in.cpp
+++ b/src/core/take_in.cpp
@@ -17,10 +17,11 @@
     r.id = id;
     r.class_index = class_index;
     r.object = call.object_id;
-    r.group = call.group;
+    r.group = call.group_known ? call.group : winchflow::GroupId{~std::uint64_t{0}};
     r.part = call.part;
     r.size_kb = call.size_kb;
     r.deadline = call.deadline;
+    r.referred = call.referred;
     return r;
 }
 
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -25,6 +25,7 @@
     winchflow::ObjectId object_id{};
     std::uint32_t part = 0;
     winchflow::GroupId group{};
+    bool group_known = true;  // false: any group's purge may concern it
     double size_kb = 0;
     Time deadline{};
     bool write = false;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -4,11 +4,14 @@
 #include <cstdlib>
 
 #include "config/config.h"
+#include "config/fronts.h"
 #include "core/engine.h"
+#include "front/dns/front.h"
 #include "front/platform/platform.h"
 #include "lifecycle.h"
 #include "net/bulletin.h"
 #include "net/clock.h"
+#include "net/dns_server.h"
 #include "net/http_server.h"
 #include "net/upstream.h"
 
@@ -33,9 +36,9 @@
     return {net::asio::ip::make_address(e->host), e->port};
 }
 
-net::UpstreamLimits upstream_limits(const config::Config& c) {
+net::UpstreamLimits upstream_limits(const config::Config& c, const config::Fronts& fronts) {
     net::UpstreamLimits limits;
-    const std::size_t clients = c.sockets / 3;
+    const std::size_t clients = c.sockets / 3 + (fronts.dns.on() ? net::DnsLimits{}.connections + 3 : 0);
     limits.sockets = c.sockets > clients + kReserved + 16 ? c.sockets - clients - kReserved : 16;
     if (c.connect_timeout > winchflow::Span{}) limits.connect_timeout = c.connect_timeout;
     // A connection that both sides may close at the same moment is not worth keeping.
@@ -43,12 +46,30 @@
     return limits;
 }
 
+// The DNS front as deploy/fronts.json sets it up.
+front::dns::ZoneSettings zone_settings(const config::DnsSettings& c) {
+    const auto name = [](const std::string& text) {
+        const auto parsed = front::dns::parse_name(text);
+        if (!parsed) throw config::ConfigError("not a name: " + text);
+        return *parsed;
+    };
+    front::dns::ZoneSettings z;
+    z.zone = name(c.zone);
+    z.server = name(c.server);
+    z.server_address = c.server_address;
+    z.mailbox = name(c.mailbox);
+    z.ttl = c.ttl_s;
+    z.deadline = c.deadline;
+    return z;
+}
+
 class Program {
 public:
-    explicit Program(config::Config config)
+    Program(config::Config config, config::Fronts fronts)
         : config_(std::move(config)),
+          fronts_(std::move(fronts)),
           timers_(io_),
-          upstream_(io_, upstream_limits(config_), clock_, log_),
+          upstream_(io_, upstream_limits(config_, fronts_), clock_, log_),
           engine_(config_.settings, config_.seed, config_.sockets, clock_, timers_, upstream_, log_),
           platform_(engine_, clock_, lifecycle_, log_),
           server_(
@@ -75,6 +96,7 @@
         }
         server_.when_out_of_descriptors([this] { upstream_.shed(32); });
         server_.start();
+        if (fronts_.dns.on()) start_dns();
         wait_for_signal();
         lifecycle_.enter(Lifecycle::Phase::ready);
         io_.run();
@@ -83,6 +105,28 @@
     }
 
 private:
+    void start_dns() {
+        dns_.emplace(engine_, clock_, zone_settings(fronts_.dns), log_);
+        dns_server_.emplace(
+            io_, net::DnsLimits{},
+            [this](std::string_view query, bool datagram, net::DnsReply reply) {
+                dns_->handle(query, datagram, std::move(reply));
+            },
+            clock_, log_);
+        if (!fronts_.dns.udp.empty()) {
+            const auto at = endpoint_of(fronts_.dns.udp);
+            dns_server_->listen_udp({at.address(), at.port()});
+            log_.line("dns-listen", "udp port %u", static_cast<unsigned>(dns_server_->udp_local().port()));
+        }
+        if (!fronts_.dns.tcp.empty()) {
+            dns_server_->listen_tcp(endpoint_of(fronts_.dns.tcp));
+            log_.line("dns-listen", "tcp port %u", static_cast<unsigned>(dns_server_->tcp_local().port()));
+        }
+        if (!fronts_.dns.tls.empty()) {
+            dns_server_->listen_tls(endpoint_of(fronts_.dns.tls));
+            log_.line("dns-listen", "tls port %u", static_cast<unsigned>(dns_server_->tls_local().port()));
+        }
+    }
     net::HttpLimits server_limits() const {
         net::HttpLimits limits;
         limits.connections = config_.sockets / 3 + kReserved / 2;
@@ -113,6 +157,7 @@
             });
         } else if (phase == Lifecycle::Phase::finishing) {
             server_.stop();
+            if (dns_server_) dns_server_->stop();
             finish();
         } else if (phase == Lifecycle::Phase::stopped) {
             io_.stop();
@@ -132,6 +177,7 @@
     void print_counters() { std::fputs(engine_.counters().text().c_str(), stderr); }
 
     config::Config config_;
+    config::Fronts fronts_;
     Log log_;
     net::asio::io_context io_{1};
     net::SystemClock clock_;
@@ -141,6 +187,8 @@
     core::Engine engine_;
     front::Platform platform_;
     net::HttpServer server_;
+    std::optional<front::dns::Front> dns_;
+    std::optional<net::DnsServer> dns_server_;
     net::asio::signal_set signals_;
     net::asio::steady_timer poll_;
     std::optional<net::Bulletin> bulletin_;
@@ -155,7 +203,9 @@
         auto config = silverrail::config::load_config(silverrail::variable("EDGE_CONFIG"));
         if (const std::string listen = silverrail::variable("EDGE_LISTEN"); !listen.empty())
             config.listen = listen;
-        silverrail::Program program{std::move(config)};
+        const std::string fronts = silverrail::variable("SILVERRAIL_FRONTS");
+        silverrail::Program program{std::move(config), silverrail::config::load_fronts(
+                                                           fronts.empty() ? "deploy/fronts.json" : fronts)};
         return program.run();
     } catch (const std::exception& e) {
         std::fprintf(stderr, "fatal %s\n", e.what());
