--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -279,4 +279,48 @@
 }
 
 }  // namespace
+// Where the client goes to the cache itself, nobody here sees how that ends: one name may bring many
+// requests, and nothing may be learned from it.
+TEST(Referred, NeverNamesAColdCache) {
+    auto settings = plain_settings();
+    settings.direct = false;
+    settings.cold_for = 10s;
+    settings.cold_from = 0.3;
+    settings.tip_window = 3s;
+    Gateway g{settings, plain_fleet(2)};
+    g.restart("c1", g.now);
+    g.pass(5s);  // by now its budget would bear one
+    for (std::uint64_t i = 1; i <= 20; ++i) {
+        const RequestId id{++g.ids};
+        g.tell(Request{.id = id, .object = ObjectId{i}, .deadline = g.now + 1s, .referred = true});
+        EXPECT_EQ(g.target(), "c2");
+        g.end(id, Ending::unseen, Note::none, 0, true);
+    }
+    EXPECT_EQ(g.router.sizes().open_requests, 0u);
+}
+
+TEST(Referred, AnUnseenEndTeachesNothing) {
+    auto settings = plain_settings();
+    settings.direct = false;
+    Gateway told{settings, plain_fleet(3)};
+    Gateway not_told{settings, plain_fleet(3)};
+    for (std::uint64_t i = 1; i <= 200; ++i) {
+        const RequestId id{++told.ids};
+        told.tell(Request{.id = id, .object = ObjectId{i}, .deadline = told.now + 1s, .referred = true});
+        told.end(id, Ending::unseen, Note::none, 0, true);
+        not_told.ids = told.ids;
+    }
+    // Nobody is ejected, no room has shrunk, no retry was earned: both go the same ways from here.
+    for (std::uint64_t i = 1000; i < 1040; ++i) {
+        const RequestId a = told.ask(i);
+        const RequestId b = not_told.ask(i);
+        EXPECT_EQ(told.target(), not_told.target());
+        EXPECT_EQ(told.source(), not_told.source());
+        told.end(a, Ending::error);
+        not_told.end(b, Ending::error);
+        EXPECT_EQ(told.target(), not_told.target());
+        EXPECT_EQ(told.find<Refuse>().has_value(), not_told.find<Refuse>().has_value());
+    }
+}
+
 }  // namespace winchflow::testing
--- /dev/null
+++ b/tests/silverrail/parsers_test.cpp
@@ -0,0 +1,289 @@
+// Tables of cases for the parsers, well-formed and not.
+#include "check.h"
+#include "config/fronts.h"
+#include "front/dns/zone.h"
+#include "front/platform/platform.h"
+#include "net/sse.h"
+#include "net/upstream.h"
+
+using namespace silverrail;
+using namespace std::chrono_literals;
+using namespace std::string_literals;
+
+namespace {
+
+void sse() {
+    struct Case {
+        const char* bytes;
+        std::size_t events;
+        const char* id;
+        const char* data;
+    };
+    const Case cases[] = {
+        {"id: 7\ndata: {}\n\n", 1, "7", "{}"},
+        {"id:7\r\ndata:a\r\ndata: b\r\n\r\n", 1, "7", "a\nb"},
+        {": still here\n\n", 0, "", ""},
+        {"data: half", 0, "", ""},
+        {"event: x\nretry: 5\ndata: y\n\n", 1, "", "y"},
+        {"id: 1\ndata: a\n\ndata: b\n\n", 2, "1", "b"},
+        {"\xEF\xBB\xBF"
+         "data: c\n\n",
+         1, "", "c"},
+        {"data\n\n", 1, "", ""},
+    };
+    for (const Case& c : cases)
+        for (const std::size_t step : {std::size_t{1}, std::size_t{1000}}) {  // however the bytes are cut
+            net::SseParser parser;
+            std::size_t events = 0;
+            net::SseParser::Event last;
+            const std::string_view bytes = c.bytes;
+            for (std::size_t at = 0; at < bytes.size(); at += step)
+                CHECK(parser.feed(bytes.substr(at, step), [&](const auto& e) { ++events, last = e; }));
+            CHECK(events == c.events && last.id == c.id && last.data == c.data);
+        }
+    net::SseParser bounded{64};
+    CHECK(!bounded.feed(std::string(100, 'x'), [](const auto&) {}));
+}
+
+void bulletin() {
+    struct Case {
+        const char* json;
+        bool good;
+    };
+    const Case cases[] = {
+        {R"({"no":1,"roster":{"full":true,"servers":[{"id":"a","addr":"h:1","state":"active"}]}})", true},
+        {R"({"no":2,"recall":{"item":"7f3a9c21e0b4d655","issued":5}})", true},
+        {R"({"no":3,"recall":{"lot":17,"issued":5}})", true},
+        {R"({"no":3,"recall":{"issued":5}})", false},
+        {R"({"no":3,"recall":{"item":"not hex","issued":5}})", false},
+        {R"({"no":4,"roster":{"servers":3}})", false},
+        {R"({"no":4,"roster":{"servers":[3]}})", false},
+        {R"([1])", false},
+        {R"({"no":4})", false},
+    };
+    for (const Case& c : cases)
+        CHECK(config::parse_event(*config::parse_json(c.json), core::Time{}, 0).has_value() == c.good);
+    CHECK(!config::parse_json("{"));
+    CHECK(!config::parse_json(std::string(100000, '[')));
+
+    // A start in Unix time lands as long ago on the steady clock.
+    const auto event = config::parse_event(
+        *config::parse_json(
+            R"({"roster":{"servers":[{"id":"a","addr":"h:1","state":"leaving","started_ms":1000}]}})"),
+        core::Time{100s}, 3500);
+    const auto& box = std::get<core::BoxChange>(event->what).boxes.at(0);
+    CHECK(box.entry.up_since == core::Time{97500ms});
+    CHECK(box.entry.condition == winchflow::Condition::draining);
+}
+
+void calls() {
+    struct Case {
+        net::http::verb verb;
+        const char* target;
+        const char* trace;
+        const char* wait;
+        const char* extra;
+        const char* value;
+        bool good;
+    };
+    constexpr auto get = net::http::verb::get;
+    constexpr auto put = net::http::verb::put;
+    const char* kTrace = "9b1f03aa5c7e2d41";
+    const char* kTarget = "/ops/segment/7f3a9c21e0b4d655/piece-3";
+    const Case cases[] = {
+        {get, kTarget, kTrace, "1500", "X-Lot", "17", true},
+        {put, kTarget, kTrace, "1500", "Reserve-Kb", "412.5", true},
+        {net::http::verb::delete_, kTarget, kTrace, "1500", "X-Lot", "17", false},
+        {get, "/ops/segment/7f3a9c21e0b4d655/3", kTrace, "1500", "X-Lot", "17", false},
+        {get, "/ops/segment/7f3a9c21e0b4d655", kTrace, "1500", "X-Lot", "17", false},
+        {get, "/ops//7f3a9c21e0b4d655/piece-3", kTrace, "1500", "X-Lot", "17", false},
+        {get, "/ops/segment/7f3a/piece-3", kTrace, "1500", "X-Lot", "17", false},
+        {get, "/ops/segment/7f3a9c21e0b4d655/piece--1", kTrace, "1500", "X-Lot", "17", false},
+        {get, kTarget, "9b1f", "1500", "X-Lot", "17", false},
+        {get, kTarget, kTrace, "0", "X-Lot", "17", false},
+        {get, kTarget, kTrace, "soon", "X-Lot", "17", false},
+        {get, kTarget, kTrace, "1500", "X-Lot", "256", false},
+        {get, kTarget, kTrace, "1500", "Reserve-Kb", "nan", false},
+    };
+    for (const Case& c : cases) {
+        net::HttpRequest r{c.verb, c.target, 11};
+        r.set("Trace-Id", c.trace);
+        r.set("Max-Wait-Ms", c.wait);
+        r.set(c.extra, c.value);
+        CHECK(std::holds_alternative<core::Call>(front::parse_call(std::move(r), core::Time{})) == c.good);
+    }
+    struct Tag {
+        const char* header;
+        const char* bare;
+    };
+    for (const Tag& t :
+         {Tag{"\"4be0\"", "4be0"}, Tag{"4be0", ""}, Tag{"W/\"4be0\"", ""}, Tag{"\"a\", \"b\"", ""}}) {
+        net::HttpRequest r{get, kTarget, 11};
+        r.set("Trace-Id", kTrace);
+        r.set("Max-Wait-Ms", "5");
+        r.set(net::http::field::if_none_match, t.header);
+        CHECK(std::get<core::Call>(front::parse_call(std::move(r), core::Time{})).have == t.bare);
+    }
+}
+
+void box_answers() {
+    using core::Ending;
+    struct Case {
+        unsigned status;
+        const char* never_ran;
+        const char* detail;
+        Ending ending;
+        core::Note note;
+    };
+    const Case cases[] = {
+        {200, "", "hit", Ending::good, core::Note::hit},
+        {304, "", "stale", Ending::good, core::Note::stale},
+        {404, "", "src_lacks", Ending::miss, core::Note::source_lacks},
+        {503, "1", "no_slot", Ending::full, core::Note::no_fill_place},
+        {503, "", "", Ending::error, core::Note::none},  // nothing says that it never ran
+        {504, "1", "", Ending::not_sent, core::Note::none},
+        {504, "", "", Ending::error, core::Note::none},
+        {500, "", "origin_failed", Ending::error, core::Note::origin_failed},
+        {418, "", "what", Ending::error, core::Note::none},
+    };
+    for (const Case& c : cases) {
+        net::http::response<net::http::string_body> r{net::http::int_to_status(c.status), 11};
+        r.result(c.status);
+        if (*c.never_ran) r.set("Not-Begun", c.never_ran);
+        r.set("Detail", c.detail);
+        const auto end = net::box_answer(std::move(r));
+        CHECK(end.ending == c.ending && end.note == c.note);
+    }
+    const auto load = net::load_of("inflight:7;util:0.61;x1:oops;;x0:0.4");
+    CHECK(load.in_flight == 7 && load.utilisation == 0.61 && load.hit_share == 0.4 && !load.link_fullness);
+}
+
+std::string query(const std::string& name, std::uint16_t type, const std::string& more = {},
+                  std::uint16_t additional = 0, std::uint16_t flags = 0x0100) {
+    std::string q = "\x12\x34"s;
+    for (const std::uint16_t v : {flags, std::uint16_t{1}, std::uint16_t{0}, std::uint16_t{0}, additional})
+        q += {static_cast<char>(v >> 8), static_cast<char>(v)};
+    q += front::dns::wire_name(*front::dns::parse_name(name));
+    for (const std::uint16_t v : {type, std::uint16_t{1}})
+        q += {static_cast<char>(v >> 8), static_cast<char>(v)};
+    return q + more;
+}
+
+void dns_queries() {
+    using namespace front::dns;
+    const std::string opt = "\0\0\x29\x04\xd0\0\0\0\0\0\0"s;
+    struct Case {
+        std::string bytes;
+        int rcode;  // -1: read; -2: dropped
+    };
+    const Case cases[] = {
+        {query("a.example", 1), -1},
+        {query("a.example", 1, opt, 1), -1},
+        {query("a.example", 1, opt + opt, 2), 1},                         // two OPT
+        {query("a.example", 1, "\1x" + opt, 1), 1},                       // OPT not at the root
+        {query("a.example", 1, opt, 2), 1},                               // one record short
+        {query("a.example", 1, "junk"), 1},                               // something behind
+        {query("a.example", 1, {}, 0, 0x2800), 4},                        // UPDATE
+        {query("a.example", 1, {}, 0, 0x8000), -2},                       // an answer
+        {query("a.example", 1).substr(0, 20), 1},                         // cut in the name
+        {query("a.example", 1).substr(0, 11), -2},                        // cut in the header
+        {"\x12\x34\1\0\0\1\0\0\0\0\0\0\xc0\x0c\0\1\0\1"s, 1},             // a pointer to itself
+        {"\x12\x34\1\0\0\2\0\0\0\0\0\0\0\0\1\0\1\0\0\1\0\1"s, 1},         // two questions
+        {"\x12\x34\1\0\0\1\0\0\0\0\0\0\x40"s + std::string(80, 'a'), 1},  // a label over 63
+    };
+    for (const Case& c : cases) {
+        const auto parsed = parse_query(c.bytes);
+        const auto* bad = std::get_if<Unreadable>(&parsed);
+        CHECK((bad == nullptr) == (c.rcode == -1));
+        if (bad && c.rcode >= 0) CHECK(bad->answer && static_cast<int>(bad->rcode) == c.rcode);
+        if (c.rcode == -2) CHECK(!bad->answer && encode(*bad).empty());
+    }
+    std::string long_name;
+    for (int i = 0; i < 4; ++i) long_name += std::string(63, 'a') + '.';
+    CHECK(!parse_name(long_name));
+    CHECK(!parse_name("a..b"));
+
+    // Over the limit: the question and TC, and nothing else.
+    const auto q = std::get<Query>(parse_query(query("a.example", 16)));
+    Response r;
+    for (int i = 0; i < 4; ++i) r.answers.push_back({false, Type::txt, 0, text_data(std::string(200, 'x'))});
+    const std::string cut = encode(q, r, *parse_name("example"), udp_limit(q));
+    CHECK(cut.size() <= 512 && (cut[2] & 2) && cut[7] == 0);
+    CHECK(!(encode(q, r, *parse_name("example"), 65535)[2] & 2));
+}
+
+void dns_names() {
+    using namespace front::dns;
+    using Kind = Meaning::Kind;
+    ZoneSettings zone;
+    zone.zone = *parse_name("route.example");
+    zone.server = *parse_name("ns1.hosts.route.example");
+    const ClassNames classes{[](const std::string& n) { return n == "pages" || n == "lodge"; },
+                             [](const std::string& n) { return n == "lodge"; }};
+    Texts texts;
+    texts.emplace(*parse_name("_acme-challenge.ns1.hosts.route.example"), "proof");
+    struct Case {
+        const char* name;
+        Kind kind;
+    };
+    const Case cases[] = {
+        {"route.example", Kind::apex},
+        {"example", Kind::outside},
+        {"xroute.example", Kind::outside},
+        {"NS1.hosts.Route.example", Kind::server},
+        {"hosts.route.example", Kind::inner},
+        {"_acme-challenge.ns1.hosts.route.example", Kind::text},
+        {"pages.route.example", Kind::inner},
+        {"7f3a9c21e0b4d655.pages.route.example", Kind::object},
+        {"lot-17.7f3a9c21e0b4d655.PAGES.route.example", Kind::object},
+        {"piece-3.lot-17.7f3a9c21e0b4d655.pages.route.example", Kind::object},
+        {"piece-3.7f3a9c21e0b4d655.pages.route.example", Kind::object},
+        {"lot-256.7f3a9c21e0b4d655.pages.route.example", Kind::unknown},
+        {"lot-017.7f3a9c21e0b4d655.pages.route.example", Kind::unknown},
+        {"x.piece-3.lot-17.7f3a9c21e0b4d655.pages.route.example", Kind::unknown},
+        {"7f3a.pages.route.example", Kind::unknown},
+        {"7f3a9c21e0b4d655.other.route.example", Kind::unknown},
+        {"7f3a9c21e0b4d655.lodge.route.example", Kind::never_repeat},
+        {"lodge.route.example", Kind::never_repeat},
+    };
+    for (const Case& c : cases) CHECK(meaning_of(*parse_name(c.name), zone, classes, texts).kind == c.kind);
+}
+
+void front_files() {
+    struct Case {
+        const char* json;
+        bool good;
+    };
+    const Case cases[] = {
+        {R"({})", true},
+        {R"({"dns":{"udp":"127.0.0.1:0","zone":"z.example","server":"ns.z.example"}})", true},
+        {R"({"dns":{"udp":"127.0.0.1:0"}})", false},
+        {R"({"dns":{"udp":"nowhere","zone":"z.example","server":"ns.z.example"}})", false},
+        {R"({"dns":{"ttl_s":2}})", false},  // would outlive the grace of a drain
+        {R"({"dns":3})", false},
+        {R"({"acme":{"directory":"https://ca.example/"}})", false},  // nothing to answer its challenge
+        {R"([])", false},
+    };
+    for (const Case& c : cases) {
+        bool good = true;
+        try {
+            (void)config::parse_fronts(*config::parse_json(c.json));
+        } catch (const config::ConfigError&) { good = false; }
+        CHECK(good == c.good);
+    }
+    CHECK(config::parse_endpoint("[::1]:53")->host == "::1");
+    for (const char* bad : {"", ":1", "h", "h:", "h:x", "h:65536"}) CHECK(!config::parse_endpoint(bad));
+}
+
+}  // namespace
+
+int main() {
+    sse();
+    bulletin();
+    calls();
+    box_answers();
+    dns_queries();
+    dns_names();
+    front_files();
+    std::puts("parsers: all cases hold");
+}
--- /dev/null
+++ b/tests/silverrail/sockets_test.cpp
@@ -0,0 +1,283 @@
+// One test with real sockets for each rule, and for what the wire does to attempts.
+#include <sys/resource.h>
+
+#include <fstream>
+#include <functional>
+#include <set>
+
+#include "stand.h"
+
+using namespace silverrail;
+using namespace silverrail::stand;
+using winchflow::Condition;
+
+namespace {
+
+const std::string kObject = "7f3a9c21e0b4d655";
+
+std::string value(const Request& r, const char* name) {
+    const auto v = r[name];
+    return {v.data(), v.size()};
+}
+
+void answers_pass_unchanged() {
+    net::asio::io_context io;
+    Box box{io};
+    Router router{io};
+    router.list_with_sources({listed("s-a", box.address())});
+    box.response = Box::hit(std::string(240'000, '\0'));
+    for (std::size_t i = 0; i < box.response.body().size(); ++i)
+        box.response.body()[i] = static_cast<char>(i * 31);
+    Client client{io, router.server.local()};
+    Request request = ask("pages", kObject);
+    request.set(net::http::field::if_none_match, "\"aa11\"");
+    client.send(request);
+    run_until(io, [&] { return client.done; });
+    CHECK(!client.broken && client.status() == 200 && client.response.body() == box.response.body());
+    CHECK(client.response["ETag"] == "\"4be0c1927d55a6f3\"");
+    const Request& at_box = box.seen.at(0).request;
+    CHECK(at_box.target() == "/obj/pages/" + kObject + "/3");
+    CHECK(value(at_box, "Call-Id") == "9b1f03aa5c7e2d41" && value(at_box, "Miss-To") == "s-parent");
+    CHECK(value(at_box, "Have") == "aa11" && value(at_box, "Store-As").empty());
+    const int left = std::stoi(value(at_box, "Call-Ms"));
+    CHECK(left > 0 && left <= 5000);
+
+    // Kept alive on both sides, and a 304 passes without bytes.
+    box.response = Box::hit("");
+    box.response.result(net::http::status::not_modified);
+    client.send(request);
+    run_until(io, [&] { return client.done; });
+    CHECK(client.status() == 304 && client.response.body().empty());
+    CHECK(box.connections == 1 && box.seen.size() == 2);
+    CHECK(value(box.seen[1].request, "Store-As") == "3");  // tracked, and among the hottest: there are few
+}
+
+// Rule 1: one final answer by the deadline, whatever the boxes do.
+void every_request_is_answered() {
+    for (const Box::Act act : {Box::Act::stay_silent, Box::Act::reset_after_reading, Box::Act::break_off}) {
+        net::asio::io_context io;
+        Box box{io};
+        Router router{io};
+        router.list_with_sources({listed("s-a", box.address())});
+        box.act = act;
+        Client client{io, router.server.local()};
+        const auto begin = std::chrono::steady_clock::now();
+        client.send(ask("pages", kObject, 400));
+        run_until(io, [&] { return client.done; });
+        CHECK(std::chrono::steady_clock::now() - begin < 400ms + 5ms + 50ms + 400ms);  // a slow test machine
+        CHECK(!client.broken && client.status() >= 429 && client.status() <= 504);
+        run_until(io, [&] { return router.engine.open() == 0; });
+        CHECK(!client.extra_bytes());
+        const auto& c = router.engine.counters();
+        CHECK(c.taken == 1 && c.served == 0 && c.refused + c.failed == 1);
+    }
+    // What is no call at all is told so.
+    net::asio::io_context io;
+    Router router{io};
+    Client client{io, router.server.local()};
+    client.send(Request{net::http::verb::get, "/ops/nowhere", 11});
+    run_until(io, [&] { return client.done; });
+    CHECK(client.status() == 400);
+}
+
+// A request that the module gives up on is answered at once, and told when to come back.
+void refusals_come_at_once() {
+    net::asio::io_context io;
+    Router router{io};
+    router.list_with_sources({});  // no box in this zone
+    Client client{io, router.server.local()};
+    client.send(ask("pages", kObject, 60'000));
+    run_until(io, [&] { return client.done; });
+    CHECK(client.status() == 503 && client.response["Hold-Off-Ms"] == "250");
+}
+
+// Rule 2: a class that must never run twice, on every way an attempt can end.
+void never_twice() {
+    struct Case {
+        Box::Act act;
+        bool may_have_run;
+    };
+    for (const Case& c : {Case{Box::Act::reset_after_reading, true}, Case{Box::Act::break_off, true},
+                          Case{Box::Act::stay_silent, true}}) {
+        net::asio::io_context io;
+        Box first{io};
+        Box second{io};
+        Router router{io};
+        router.list_with_sources({listed("s-a", first.address()), listed("s-b", second.address())});
+        first.act = second.act = c.act;
+        Client client{io, router.server.local()};
+        client.send(ask("lodge", kObject, 400));
+        run_until(io, [&] { return client.done; });
+        CHECK(first.seen.size() + second.seen.size() == 1);
+        // Neither 429 nor 503, which would say that a further try is harmless.
+        CHECK(client.status() != 503 && client.status() != 429 && client.status() >= 500);
+    }
+    // Refused connections prove that nothing ran: the other box gets it.
+    net::asio::io_context io;
+    Box up{io};
+    Box down{io};
+    const std::string dead = down.address();
+    down.stop_listening();
+    for (int i = 0; i < 8; ++i) {
+        Router router{io};
+        router.list_with_sources({listed("s-a", dead), listed("s-b", up.address())});
+        Client client{io, router.server.local()};
+        client.send(ask("lodge", "00000000000000" + std::to_string(10 + i)));
+        run_until(io, [&] { return client.done; });
+        CHECK(client.status() == 200);
+    }
+    CHECK(up.seen.size() == 8 && up.seen[0].request.body() == "timesheet");
+}
+
+// A kept connection that breaks with the request on it is no reason to send that again.
+void no_repeat_on_a_stale_connection() {
+    net::asio::io_context io;
+    Box box{io};
+    Router router{io};
+    router.list_with_sources({listed("s-a", box.address())});
+    Client client{io, router.server.local()};
+    client.send(ask("lodge", kObject));
+    run_until(io, [&] { return client.done; });
+    box.act = Box::Act::reset_after_reading;
+    client.send(ask("lodge", kObject));
+    run_until(io, [&] { return client.done; });
+    CHECK(box.seen.size() == 2 && box.seen[1].connection == 1 && box.connections == 1);
+    CHECK(client.status() == 502);
+}
+
+// Rule 3: nothing new to a box that drains or is gone, and no connection of it is used again.
+void drains_are_kept() {
+    net::asio::io_context io;
+    Box first{io};
+    Box second{io};
+    Router router{io};
+    router.list_with_sources({listed("s-a", first.address()), listed("s-b", second.address())});
+    Client client{io, router.server.local()};
+    const auto ask_all = [&] {
+        for (int i = 10; i < 30; ++i) {
+            client.send(ask("pages", "00000000000000" + std::to_string(i)));
+            run_until(io, [&] { return client.done; });
+            CHECK(client.status() == 200);
+        }
+    };
+    ask_all();
+    const std::size_t before = first.seen.size();
+    CHECK(before > 0 && second.seen.size() > 0);
+    router.list({listed("s-a", first.address(), "small-box", Condition::draining)}, false);
+    ask_all();
+    CHECK(first.seen.size() == before);
+    router.list({listed("s-a", first.address(), "small-box", Condition::gone)}, false);
+    run_until(io, [&] { return first.closed == first.connections; });
+    // A new box at the old one's address is another box, with connections of its own.
+    router.list(
+        {listed("s-c", first.address()), listed("s-b", second.address(), "small-box", Condition::gone)},
+        false);
+    const std::size_t old = first.connections;
+    ask_all();
+    CHECK(first.seen.size() == before + 20 && first.seen.back().connection > old);
+}
+
+// Rule 4: a box that has just started is not sent more than its share, however many ask.
+void cold_boxes_are_spared() {
+    net::asio::io_context io;
+    Box box{io};
+    Router router{io};
+    auto cold = listed("s-a", box.address());
+    cold.entry.up_since = router.clock.now();
+    cold.started_ms = router.clock.unix_ms();
+    router.list_with_sources({cold});
+    Client client{io, router.server.local()};
+    int refused = 0;
+    for (int i = 0; i < 300; ++i) {
+        client.send(ask("pages", kObject));
+        run_until(io, [&] { return client.done; });
+        refused += client.status() == 503;
+    }
+    // In 3 s it bears 2 x 26% x 10 answers at a time; each counts 0.25 s, the aim of its class.
+    CHECK(static_cast<double>(box.seen.size()) * 0.25 <= 2 * 0.26 * 10 * 3);
+    CHECK(refused == 300 - static_cast<int>(box.seen.size()));
+}
+
+// Rule 5: after a purge the box is told how old a copy may be, also where the purge came last of all.
+void purges_are_kept() {
+    net::asio::io_context io;
+    Box box{io};
+    Router router{io};
+    router.list_with_sources({listed("s-a", box.address())});
+    const auto issued = router.clock.unix_ms() - 200;
+    router.engine.apply(core::PurgeNotice{{}, winchflow::GroupId{17}, issued});
+    Client client{io, router.server.local()};
+    client.send(ask("pages", kObject));
+    // Told while the connection is still coming up: the first byte has not gone out.
+    run_until(io, [&] { return router.engine.counters().sent == 1; });
+    router.engine.apply(core::PurgeNotice{winchflow::ObjectId{0x7f3a9c21e0b4d655}, {}, issued + 190});
+    run_until(io, [&] { return client.done; });
+    const int oldest = std::stoi(value(box.seen.at(0).request, "No-Older-Than"));
+    CHECK(oldest >= 1 && oldest <= router.clock.unix_ms() - (issued + 190));
+    CHECK(router.engine.counters().tightened == 1);
+    auto other = ask("pages", "00000000000000ff");
+    other.set("X-Lot", "18");
+    client.send(other);
+    run_until(io, [&] { return client.done; });
+    CHECK(value(box.seen.at(1).request, "No-Older-Than").empty());
+}
+
+// The client has gone: the box is told by the end of the connection.
+void gone_clients_cancel() {
+    net::asio::io_context io;
+    Box box{io};
+    Router router{io};
+    router.list_with_sources({listed("s-a", box.address())});
+    box.act = Box::Act::stay_silent;
+    Client client{io, router.server.local()};
+    client.send(ask("pages", kObject));
+    run_until(io, [&] { return box.seen.size() == 1; });
+    client.leave();
+    run_until(io, [&] { return box.closed == 1; });
+    CHECK(router.engine.counters().abandoned == 1 && router.engine.open() == 0);
+}
+
+// Out of descriptors: what has come in waits in the backlog and is served once some are free.
+void descriptors_run_out() {
+    net::asio::io_context io;
+    Router router{io};
+    router.list_with_sources({});
+    rlimit before{};
+    CHECK(::getrlimit(RLIMIT_NOFILE, &before) == 0);
+    Client client{io, router.server.local()};  // has its own descriptor already
+    std::vector<std::ifstream> files;
+    rlimit low = before;
+    low.rlim_cur = 64;
+    CHECK(::setrlimit(RLIMIT_NOFILE, &low) == 0);
+    while (files.size() < 64) {
+        files.emplace_back("/dev/null");
+        if (!files.back()) break;
+    }
+    CHECK(!files.back());
+    client.send(ask("pages", kObject));
+    bool passed = false;
+    net::asio::steady_timer a_while{io, 100ms};
+    a_while.async_wait([&](const net::error_code&) { passed = true; });
+    run_until(io, [&] { return passed; });
+    CHECK(!client.done);  // nothing could be accepted, and nothing broke
+    files.clear();
+    CHECK(::setrlimit(RLIMIT_NOFILE, &before) == 0);
+    run_until(io, [&] { return client.done; });
+    CHECK(client.status() == 503);
+}
+
+}  // namespace
+
+int main() {
+    answers_pass_unchanged();
+    every_request_is_answered();
+    refusals_come_at_once();
+    never_twice();
+    no_repeat_on_a_stale_connection();
+    drains_are_kept();
+    cold_boxes_are_spared();
+    purges_are_kept();
+    gone_clients_cancel();
+    descriptors_run_out();
+    std::puts("sockets: every rule holds");
+}
--- /dev/null
+++ b/tests/silverrail/stand.h
@@ -0,0 +1,243 @@
+// Stand-ins for the tests: boxes, clients and a router's parts on loopback, ports chosen by the system, one
+// thread. Nothing here waits for a time to pass as proof of anything.
+#pragma once
+
+#include <memory>
+#include <vector>
+
+#include "check.h"
+#include "core/engine.h"
+#include "front/platform/platform.h"
+#include "net/clock.h"
+#include "net/upstream.h"
+
+namespace silverrail::stand {
+
+using namespace std::chrono_literals;
+using net::asio::ip::tcp;
+using Request = net::http::request<net::http::string_body>;
+using Response = net::http::response<net::http::string_body>;
+
+inline tcp::endpoint loopback(const char* address = "127.0.0.1") {
+    return {net::asio::ip::make_address(address), 0};
+}
+inline std::string text_of(const tcp::endpoint& at) {
+    return at.address().to_string() + ":" + std::to_string(at.port());
+}
+
+// Runs until it is so; the bound only ends a test that has gone wrong.
+template <class Test>
+void run_until(net::asio::io_context& io, Test test) {
+    const auto bound = std::chrono::steady_clock::now() + 20s;
+    while (!test()) {
+        CHECK(std::chrono::steady_clock::now() < bound);
+        io.restart();
+        io.run_one_for(20ms);
+    }
+}
+
+// A box that answers as it is told to.
+class Box {
+public:
+    enum class Act { answer, stay_silent, reset_after_reading, break_off, close_after_answer };
+    struct Seen {
+        Request request;
+        std::size_t connection;
+    };
+    explicit Box(net::asio::io_context& io, const char* address = "127.0.0.1")
+        : io_(io), acceptor_(io, loopback(address)) {
+        accept();
+    }
+    std::string address() const { return text_of(acceptor_.local_endpoint()); }
+    void stop_listening() { acceptor_.close(); }
+
+    Act act = Act::answer;
+    Response response = hit("bytes of the object");
+    std::vector<Seen> seen;
+    std::size_t connections = 0;
+    std::size_t closed = 0;  // by the other side
+
+    static Response hit(std::string body) {
+        Response r{net::http::status::ok, 11};
+        r.set("Tag", "4be0c1927d55a6f3");
+        r.set("Made-At", "1764576000123");
+        r.set("Detail", "hit");
+        r.body() = std::move(body);
+        return r;
+    }
+
+private:
+    struct Link {
+        explicit Link(tcp::socket s) : socket(std::move(s)) {}
+        tcp::socket socket;
+        net::beast::flat_buffer buffer;
+        Request request;
+        Response response;
+        std::size_t number = 0;
+    };
+    void accept() {
+        acceptor_.async_accept([this](const net::error_code& error, tcp::socket socket) {
+            if (error) return;
+            auto link = std::make_shared<Link>(std::move(socket));
+            link->number = ++connections;
+            read(link);
+            accept();
+        });
+    }
+    void read(const std::shared_ptr<Link>& link) {
+        link->request = {};
+        net::http::async_read(link->socket, link->buffer, link->request,
+                              [this, link](const net::error_code& error, std::size_t) {
+                                  if (error) {
+                                      ++closed;
+                                      return;
+                                  }
+                                  seen.push_back({link->request, link->number});
+                                  reply(link);
+                              });
+    }
+    void reply(const std::shared_ptr<Link>& link) {
+        if (act == Act::stay_silent) return read(link);
+        if (act == Act::reset_after_reading) {
+            link->socket.set_option(net::asio::socket_base::linger(true, 0));
+            link->socket.close();
+            return;
+        }
+        link->response = response;
+        link->response.prepare_payload();
+        if (act == Act::break_off) link->response.set(net::http::field::content_length, "100000");
+        net::http::async_write(link->socket, link->response,
+                               [this, link](const net::error_code& error, std::size_t) {
+                                   if (error) return;
+                                   if (act == Act::answer) return read(link);
+                                   link->socket.close();
+                               });
+    }
+    net::asio::io_context& io_;
+    tcp::acceptor acceptor_;
+};
+
+// One client connection with one request at a time.
+class Client {
+public:
+    Client(net::asio::io_context& io, const tcp::endpoint& to) : socket_(io) { socket_.connect(to); }
+    void send(Request request) {
+        done = false;
+        broken = false;
+        response = {};
+        request_ = std::move(request);
+        request_.prepare_payload();
+        net::http::async_write(socket_, request_, [](const net::error_code&, std::size_t) {});
+        net::http::async_read(socket_, buffer_, response, [this](const net::error_code& error, std::size_t) {
+            broken = bool(error);
+            done = true;
+        });
+    }
+    void leave() { socket_.close(); }
+    bool extra_bytes() {
+        net::error_code error;
+        return buffer_.size() > 0 || socket_.available(error) > 0;
+    }
+    unsigned status() const { return response.result_int(); }
+
+    bool done = false;
+    bool broken = false;
+    Response response;
+
+private:
+    tcp::socket socket_;
+    net::beast::flat_buffer buffer_;
+    Request request_;
+};
+
+inline Request ask(const std::string& class_name, const std::string& object, int wait_ms = 5000) {
+    Request r{class_name == "lodge" ? net::http::verb::put : net::http::verb::get,
+              "/ops/" + class_name + "/" + object + "/piece-3", 11};
+    r.set("Host", "app.svc");
+    r.set("Trace-Id", "9b1f03aa5c7e2d41");
+    r.set("Max-Wait-Ms", std::to_string(wait_ms));
+    r.set("X-Lot", "17");
+    if (class_name == "lodge") r.body() = "timesheet";
+    return r;
+}
+
+inline winchflow::Settings settings() {
+    winchflow::Settings s;
+    s.zone = "edge-1";
+    s.parent_kind = "parent";
+    s.origin_kind = "origin";
+    s.weights = winchflow::Weights::nominal;
+    s.detail = winchflow::Detail::all;
+    s.may_cancel = true;
+    s.retry_after = true;
+    s.max_retry_after = 500ms;
+    s.attempt_limit = 6;
+    s.heed_within = 500ms;
+    s.cleared_within = 6s;
+    s.cold_from = 0.26;
+    s.cold_for = 14s;
+    s.tip_multiple = 2;
+    s.tip_window = 3s;
+    s.parent_cold_from = 0.068;
+    s.parent_cold_for = 21s;
+    s.parent_tip_multiple = 2;
+    s.classes.push_back({.name = "pages",
+                         .aim = 250ms,
+                         .give_up = 5s,
+                         .effect = winchflow::Effect::pure,
+                         .max_age = 8s,
+                         .grace = 20s});
+    s.classes.push_back({.name = "lodge",
+                         .aim = 700ms,
+                         .give_up = 5s,
+                         .effect = winchflow::Effect::unsafe,
+                         .uncached = true});
+    return s;
+}
+
+inline core::Box listed(const std::string& id, const std::string& address, const char* kind = "small-box",
+                        winchflow::Condition condition = winchflow::Condition::ready) {
+    core::Box b;
+    b.entry.id = winchflow::CacheId{id};
+    b.entry.condition = condition;
+    b.entry.weight = 10;
+    b.entry.zone = std::string_view{kind} == "small-box" ? "edge-1" : "north";
+    b.entry.kind = kind;
+    b.address = address;
+    return b;
+}
+
+// The router's parts as main.cpp wires them, in this process.
+class Router {
+public:
+    explicit Router(net::asio::io_context& io)
+        : timers(io),
+          upstream(io, net::UpstreamLimits{}, clock, log),
+          engine(settings(), 7, 1000, clock, timers, upstream, log),
+          platform(engine, clock, lifecycle, log),
+          server(
+              io, loopback(), net::HttpLimits{},
+              [this](auto session, auto request) { platform.handle(session, std::move(request)); }, log) {
+        lifecycle.enter(Lifecycle::Phase::ready);
+        server.start();
+    }
+    void list(std::vector<core::Box> boxes, bool complete = true) {
+        engine.apply(core::BoxChange{complete, std::move(boxes)});
+    }
+    // The boxes given, and a hub cache and an origin that only ever appear as sources.
+    void list_with_sources(std::vector<core::Box> boxes) {
+        boxes.push_back(listed("s-parent", "127.0.0.1:9", "parent"));
+        boxes.push_back(listed("s-origin", "127.0.0.1:9", "origin"));
+        list(std::move(boxes));
+    }
+    Log log;
+    net::SystemClock clock;
+    net::TimerQueue timers;
+    net::Upstream upstream;
+    Lifecycle lifecycle;
+    core::Engine engine;
+    front::Platform platform;
+    net::HttpServer server;
+};
+
+}  // namespace silverrail::stand
