Order, keep and renew a certificate by ACME; serve DNS over TLS with it

The stand-in authority checks each signature with its own reading of the key, takes a nonce once, asks the DNS front for the proof and refuses without it; the test also sees badNonce, 503 with Retry-After, growing pauses, mode 0600, renewal at two thirds and a restart that orders nothing.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -3,6 +3,7 @@
 #include <cstdio>
 #include <cstdlib>
 
+#include "acme/client.h"
 #include "config/config.h"
 #include "config/fronts.h"
 #include "core/engine.h"
@@ -13,6 +14,7 @@
 #include "net/clock.h"
 #include "net/dns_server.h"
 #include "net/http_server.h"
+#include "net/https_client.h"
 #include "net/upstream.h"
 
 namespace silverrail {
@@ -63,6 +65,20 @@
     return z;
 }
 
+class FrontProofs : public acme::Proofs {
+public:
+    explicit FrontProofs(front::dns::Front& front) : front_(front) {}
+    void show(const std::string& name, const std::string& text) override {
+        if (const auto n = front::dns::parse_name(name)) front_.set_text(*n, text);
+    }
+    void clear(const std::string& name) override {
+        if (const auto n = front::dns::parse_name(name)) front_.clear_texts(*n);
+    }
+
+private:
+    front::dns::Front& front_;
+};
+
 class Program {
 public:
     Program(config::Config config, config::Fronts fronts)
@@ -97,6 +113,7 @@
         server_.when_out_of_descriptors([this] { upstream_.shed(32); });
         server_.start();
         if (fronts_.dns.on()) start_dns();
+        if (fronts_.acme.on()) start_acme();
         wait_for_signal();
         lifecycle_.enter(Lifecycle::Phase::ready);
         io_.run();
@@ -127,6 +144,23 @@
             log_.line("dns-listen", "tls port %u", static_cast<unsigned>(dns_server_->tls_local().port()));
         }
     }
+    void start_acme() {
+        const config::AcmeSettings& a = fronts_.acme;
+        proofs_.emplace(*dns_);
+        https_.emplace(io_, a.trust);
+        acme_.emplace(
+            acme::ClientSettings{a.directory, a.contact, fronts_.dns.server}, acme::Store{a.folder}, *https_,
+            *proofs_, timers_, clock_, config_.seed,
+            [this](const acme::Issued& issued) {
+                try {
+                    dns_server_->use_certificate(net::tls_context(issued));
+                } catch (const boost::system::system_error& e) {
+                    log_.line("acme", "unusable: %s", e.what());
+                }
+            },
+            log_);
+        acme_->start();
+    }
     net::HttpLimits server_limits() const {
         net::HttpLimits limits;
         limits.connections = config_.sockets / 3 + kReserved / 2;
@@ -189,6 +223,9 @@
     net::HttpServer server_;
     std::optional<front::dns::Front> dns_;
     std::optional<net::DnsServer> dns_server_;
+    std::optional<FrontProofs> proofs_;
+    std::optional<net::HttpsClient> https_;
+    std::optional<acme::Client> acme_;
     net::asio::signal_set signals_;
     net::asio::steady_timer poll_;
     std::optional<net::Bulletin> bulletin_;
--- a/src/net/dns_server.cpp
+++ b/src/net/dns_server.cpp
@@ -1,9 +1,9 @@
 #include "net/dns_server.h"
 
-// Behind asio.h on purpose, which the formatter must not undo.
-#include <boost/asio/ssl.hpp>
 #include <deque>
 
+#include "net/tls.h"
+
 namespace silverrail::net {
 
 struct DnsServer::Session {
