End the ACME test with no order under way: its authority waited for the stopped DNS front

Seen: silverrail_acme ran into its time-out under CTest, not by hand. The last timers.fire() began an order whose proof the authority asked of the DNS front after the test's loop had stopped, and its thread was joined.

--- a/tests/silverrail/acme_test.cpp
+++ b/tests/silverrail/acme_test.cpp
@@ -512,7 +512,8 @@
         CHECK(authority.proofs_missing == tries && authority.issued == 0);
         CHECK(timers.held[0].first > last * 3 / 2 && timers.held[0].first >= 4900ms);  // longer each time
         last = timers.held[0].first;
-        timers.fire();
+        // No order may be under way when the authority ends: its thread would wait for our DNS front.
+        if (tries < 3) timers.fire();
     }
     // An authority that is not trusted is not talked to.
     std::ofstream{trust} << Authority{bench.server.udp_local()}.ca_pem();
