Drop a box's connections when it goes after draining, not only when it goes at once

Ruled out: the pool (Upstream::forget closes at once when asked). At fault: Fleet::apply took 'barred just now' for 'gone just now'. It now compares with what was listed before.

--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -5,24 +5,31 @@
 std::vector<CacheId> Fleet::apply(const BoxChange& change, Time now) {
     using winchflow::Condition;
     std::vector<CacheId> dropped;
-    if (change.complete)
+    std::map<CacheId, Box> before;
+    if (change.complete) {
+        before = boxes_;
         for (auto& [id, box] : boxes_) box.entry.condition = Condition::gone;
+    }
     for (const Box& told : change.boxes) {
         auto [at, fresh] = boxes_.try_emplace(told.entry.id, told);
-        Box& box = at->second;
-        // A restart under the same id, or a move: what is open to the old process is void.
-        const bool replaced = !fresh && (box.started_ms != told.started_ms || box.address != told.address);
-        if (replaced) dropped.push_back(told.entry.id);
-        const auto barred = box.barred;
-        box = told;
-        box.barred = barred;
+        if (fresh) continue;
+        before.try_emplace(at->first, at->second);
+        const auto barred = at->second.barred;
+        at->second = told;
+        at->second.barred = barred;
     }
     for (auto& [id, box] : boxes_) {
         if (box.entry.condition == Condition::ready)
             box.barred.reset();
         else if (!box.barred)
             box.barred = now;
-        if (box.entry.condition == Condition::gone && box.barred == now) dropped.push_back(id);
+    }
+    // Guards against a connection to a process that is no more: gone (also after it drained), restarted under
+    // the same id, or moved.
+    for (const auto& [id, old] : before) {
+        const Box& box = boxes_.at(id);
+        const bool left = box.entry.condition == Condition::gone && old.entry.condition != Condition::gone;
+        if (left || box.started_ms != old.started_ms || box.address != old.address) dropped.push_back(id);
     }
     if (boxes_.size() > kGoneKept)
         std::erase_if(boxes_, [](const auto& e) { return e.second.entry.condition == Condition::gone; });
--- /dev/null
+++ b/tests/silverrail/core_test.cpp
@@ -0,0 +1,318 @@
+// The core alone, with a clock, timers, a sender and clients of the test's own: what each stage guards.
+#include <map>
+
+#include "check.h"
+#include "config/config.h"
+#include "core/engine.h"
+#include "lifecycle.h"
+#include "net/clock.h"
+#include "settings.h"
+#include "stand.h"
+
+using namespace silverrail;
+using namespace silverrail::core;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct HandClock : Clock {
+    Time now() const override { return Time{1000s} + passed; }
+    std::int64_t unix_ms() const override { return 1'764'576'000'000 + passed / 1ms; }
+    Span passed{};
+};
+
+struct HandTimers : Timers {
+    explicit HandTimers(HandClock& c) : clock(c) {}
+    Handle at(Time when, std::function<void()> action) override {
+        due.emplace(std::pair{when, ++last}, std::move(action));
+        return last;
+    }
+    void cancel(Handle handle) override {
+        std::erase_if(due, [&](const auto& e) { return e.first.second == handle; });
+    }
+    void pass(Span span) {
+        const Time until = clock.now() + span;
+        while (!due.empty() && due.begin()->first.first <= until) {
+            auto node = due.extract(due.begin());
+            clock.passed += std::max(Span{}, node.key().first - clock.now());
+            node.mapped()();
+        }
+        clock.passed += until - clock.now();
+    }
+    HandClock& clock;
+    std::map<std::pair<Time, Handle>, std::function<void()>> due;
+    Handle last = 0;
+};
+
+// Holds each attempt until the test lets it go or end.
+struct HandSender : AttemptSender {
+    void start(Order order, AttemptEvents& e) override {
+        events = &e;
+        out.push_back(std::move(order));
+        if (refuses_at_once) {
+            const auto key = out.back().key;
+            out.pop_back();
+            e.ended(key, {.ending = Ending::no_connection});
+        }
+    }
+    void cancel(const AttemptKey& key) override {
+        std::erase_if(out, [&](const Order& o) { return o.key == key; });
+        ++cancelled;
+    }
+    void forget(const CacheId& box) override { forgotten.push_back(box.address); }
+    void end(std::size_t i, AttemptEnd how) {
+        const auto key = out.at(i).key;
+        out.erase(out.begin() + static_cast<std::ptrdiff_t>(i));
+        events->ended(key, std::move(how));
+    }
+    std::vector<Order> out;
+    std::vector<std::string> forgotten;
+    AttemptEvents* events = nullptr;
+    bool refuses_at_once = false;
+    int cancelled = 0;
+};
+
+struct Reply : ReplySink {
+    void reply(Answer a) override {
+        ++count;
+        answer = std::move(a);
+    }
+    int count = 0;
+    Answer answer;
+};
+
+struct Bench {
+    Bench() {
+        change({stand::listed("s-a", "127.0.0.1:1"), stand::listed("s-b", "127.0.0.1:2"),
+                stand::listed("s-parent", "127.0.0.1:3", "parent"),
+                stand::listed("s-origin", "127.0.0.1:4", "origin")},
+               true);
+    }
+    void change(std::vector<Box> boxes, bool complete = false) {
+        engine.apply(BoxChange{complete, std::move(boxes)});
+    }
+    std::shared_ptr<Reply> ask(const char* class_name = "pages", Span wait = 2s, bool referred = false) {
+        Call call;
+        call.class_name = class_name;
+        call.object = "7f3a9c21e0b4d655";
+        call.object_id = winchflow::ObjectId{0x7f3a9c21e0b4d655};
+        call.group = winchflow::GroupId{17};
+        call.deadline = clock.now() + wait;
+        call.referred = referred;
+        auto reply = std::make_shared<Reply>();
+        id = engine.take(std::move(call), reply);
+        return reply;
+    }
+    HandClock clock;
+    HandTimers timers{clock};
+    HandSender sender;
+    Log log;
+    Engine engine{stand::settings(), 7, 20, clock, timers, sender, log};
+    std::optional<RequestId> id;
+};
+
+void one_answer_by_the_deadline() {
+    struct Case {
+        const char* class_name;
+        Ending ending;
+        Answer::Kind kind;  // once nothing more can be tried
+        std::size_t attempts;
+    };
+    using Kind = Answer::Kind;
+    const Case cases[] = {
+        {"pages", Ending::good, Kind::served, 1},
+        {"pages", Ending::reset, Kind::refused, 6},
+        {"pages", Ending::no_connection, Kind::refused, 6},
+        {"lodge", Ending::reset, Kind::failed, 1},  // may have run
+        {"lodge", Ending::error, Kind::failed, 1},
+        {"lodge", Ending::late, Kind::failed, 1},
+        {"lodge", Ending::no_connection, Kind::refused, 6},  // never ran
+    };
+    for (const Case& c : cases) {
+        Bench b;
+        const auto reply = b.ask(c.class_name);
+        std::size_t attempts = 0;
+        while (!b.sender.out.empty()) {
+            ++attempts;
+            b.sender.end(0, {.ending = c.ending, .body = "bytes"});
+        }
+        CHECK(reply->count == 1 && reply->answer.kind == c.kind && attempts <= c.attempts);
+        CHECK((c.attempts == 1) == (attempts == 1));
+        CHECK(b.engine.open() == 0);
+    }
+    // Silence: at the deadline, and never twice.
+    for (const char* class_name : {"pages", "lodge"}) {
+        Bench b;
+        const auto reply = b.ask(class_name, 700ms);
+        b.timers.pass(699ms);
+        CHECK(reply->count == 0);
+        b.timers.pass(3ms);
+        CHECK(reply->count == 1 && reply->answer.timed_out);
+        CHECK((reply->answer.kind == Answer::Kind::failed) == (std::string_view{class_name} == "lodge"));
+        CHECK(b.sender.out.empty() && b.engine.open() == 0);
+    }
+    // A sender that fails before it returns does not confuse the order of events.
+    Bench b;
+    b.sender.refuses_at_once = true;
+    const auto reply = b.ask();
+    CHECK(reply->count == 1 && reply->answer.kind == Answer::Kind::refused && b.engine.open() == 0);
+    CHECK(reply->answer.hold_off == 250ms);
+}
+
+void admission() {
+    Bench b;
+    CHECK(b.ask("nowhere")->answer.kind == Answer::Kind::failed);
+    CHECK(b.ask("pages", 0s)->answer.timed_out);
+    std::vector<std::shared_ptr<Reply>> replies;
+    for (int i = 0; i < 21; ++i) replies.push_back(b.ask("lodge"));
+    CHECK(replies[19]->count == 0 && replies[20]->count == 1);
+    CHECK(replies[20]->answer.kind == Answer::Kind::refused && replies[20]->answer.hold_off > 0s);
+    CHECK(b.engine.counters().not_admitted == 1);
+}
+
+// The wait for a connection may be long: what was right when it was decided is looked at again.
+void first_bytes() {
+    {
+        Bench b;
+        (void)b.ask();
+        const auto key = b.sender.out.at(0).key;
+        CHECK(b.sender.events->before_first_byte(key) == Span{});
+        b.change({stand::listed(b.sender.out[0].target.address, b.sender.out[0].address, "small-box",
+                                winchflow::Condition::draining)});
+        CHECK(b.sender.events->before_first_byte(key));  // within the grace
+        b.timers.pass(1600ms);
+        CHECK(!b.sender.events->before_first_byte(key));  // near its end
+    }
+    {
+        Bench b;
+        (void)b.ask();
+        const auto key = b.sender.out.at(0).key;
+        b.change({stand::listed("s-parent", "127.0.0.1:3", "parent", winchflow::Condition::gone)});
+        b.timers.pass(1600ms);
+        CHECK(!b.sender.events->before_first_byte(key));  // a source is named too
+    }
+    {
+        Bench b;
+        (void)b.ask();
+        const auto key = b.sender.out.at(0).key;
+        b.engine.apply(PurgeNotice{{}, winchflow::GroupId{17}, b.clock.unix_ms() - 120});
+        b.timers.pass(80ms);
+        CHECK(b.sender.events->before_first_byte(key) == Span{200ms});
+        b.engine.abandon(*b.id);
+        CHECK(!b.sender.events->before_first_byte(key));  // nobody waits for it any more
+        CHECK(b.sender.cancelled == 1 && b.engine.open() == 0);
+    }
+}
+
+void boxes_by_id() {
+    Bench b;
+    b.change({stand::listed("s-a", "127.0.0.1:1", "small-box", winchflow::Condition::draining)});
+    CHECK(b.sender.forgotten.empty());  // what is open there comes to its end
+    b.timers.pass(1s);
+    b.change({stand::listed("s-a", "127.0.0.1:1", "small-box", winchflow::Condition::gone)});
+    CHECK(b.sender.forgotten == std::vector<std::string>{"s-a"});
+    auto again = stand::listed("s-b", "127.0.0.1:2");
+    again.started_ms = b.clock.unix_ms();
+    b.change({again});
+    b.change({again});  // told twice, restarted once
+    CHECK((b.sender.forgotten == std::vector<std::string>{"s-a", "s-b"}));
+}
+
+void referrals() {
+    Bench b;
+    auto reply = b.ask("pages", 1s, true);
+    CHECK(reply->answer.kind == Answer::Kind::referred && !reply->answer.box_address.empty());
+    CHECK(b.sender.out.empty() && b.engine.open() == 0);
+    b.engine.apply(PurgeNotice{winchflow::ObjectId{0x7f3a9c21e0b4d655}, {}, b.clock.unix_ms()});
+    reply = b.ask("pages", 1s, true);
+    CHECK(reply->answer.kind == Answer::Kind::refused && reply->answer.hold_off > 0s);
+    CHECK(b.engine.counters().not_carried == 1);
+}
+
+void phases() {
+    using Phase = Lifecycle::Phase;
+    Lifecycle life;
+    std::vector<Phase> seen;
+    life.on_change([&](Phase p) { seen.push_back(p); });
+    CHECK(!life.ready());
+    CHECK(life.enter(Phase::ready) && life.ready() && life.enter(Phase::draining));
+    CHECK(!life.enter(Phase::ready) && !life.enter(Phase::draining) && !life.ready());
+    CHECK((seen == std::vector{Phase::ready, Phase::draining}));
+}
+
+// The same settings as the simulator's wire gives them and as the platform's file does.
+void settings_from_both_wires() {
+    const auto json = config::parse_json(R"({"listen":"127.0.0.1:1","seed":"8c1f30d27a5be964","settings":{
+        "allowed":{"cancel":true,"conn-idle":15000000000,"connect-timeout":400000000,"max-retry-after":500000000,
+            "retry-after":true,"try-limit":6},
+        "balancers":4,"classes":[{"aim":400000000,"aim-stretch":1.6,"effect":"pure","give-up":5000000000,
+            "group":"all","late-worth":0.15,"name":"bulk-files","window":5000000000,"worth":2.0},
+            {"aim":700000000,"effect":"side_effect","give-up":3000000000,"group":"zone","name":"lodge"}],
+        "dcs":["north","edge-1"],"kinds":["small-box","parent","origin"],"weights":"rough","zone":"edge-1",
+        "family-info":{"bypass-allowed":false,"class-grace":[0,20000000000],"cleared-within":6000000000,
+            "detail":"all","heed-within":500000000,"max-age":[0,8000000000],"one-flow-kb-per-s":2800.0,
+            "origin-kind":2,"parent-limit-factor":2.0,"parent-warms-in":21000000000,"pipe-kb-per-s":[0.0,40368.5],
+            "second-tier-kind":1,"segmented":[false,true],"shares-fills":true,"stale-earns":[0.7,0.5],
+            "uncached":[false,true],"upper-cold-from":0.068,"zone-balancers":[0,2]},
+        "invariants":{"cold":14000000000,"cold-from":0.26,"fall":3000000000,"tip-multiple":2.0}}})");
+    const auto from_file = config::parse_config(*json);
+    const std::string pairs =
+        "allowed.cancel=true allowed.max-retry-after=500000000 allowed.retry-after=true allowed.try-limit=6 "
+        "balancers=4 classes.count=2 classes.0.aim=400000000 classes.0.aim-stretch=1.6 classes.0.effect=pure "
+        "classes.0.give-up=5000000000 classes.0.group=all classes.0.late-worth=0.15 "
+        "classes.0.name=bulk-files "
+        "classes.0.window=5000000000 classes.0.worth=2.0 classes.1.aim=700000000 "
+        "classes.1.effect=side_effect "
+        "classes.1.give-up=3000000000 classes.1.group=zone classes.1.name=lodge dcs=north,edge-1 "
+        "kinds=small-box,parent,origin weights=rough zone=edge-1 family-info.bypass-allowed=false "
+        "family-info.class-grace=0,20000000000 family-info.cleared-within=6000000000 family-info.detail=all "
+        "family-info.heed-within=500000000 family-info.max-age=0,8000000000 "
+        "family-info.one-flow-kb-per-s=2800.0 "
+        "family-info.origin-kind=2 family-info.parent-limit-factor=2.0 "
+        "family-info.parent-warms-in=21000000000 "
+        "family-info.pipe-kb-per-s=0.0,40368.5 family-info.second-tier-kind=1 "
+        "family-info.segmented=false,true "
+        "family-info.shares-fills=true family-info.stale-earns=0.7,0.5 family-info.uncached=false,true "
+        "family-info.upper-cold-from=0.068 family-info.zone-balancers=0,2 invariants.cold=14000000000 "
+        "invariants.cold-from=0.26 invariants.fall=3000000000 invariants.tip-multiple=2.0";
+    const auto a = winchflow::adapter::parse_settings(winchflow::adapter::split(pairs, ' '));
+    const auto& b = from_file.settings;
+    const auto all = [](const winchflow::Settings& s) {
+        return std::tuple{s.zone,           s.gateways,         s.gateways_in_zone, s.parent_kind,
+                          s.origin_kind,    s.weights,          s.flow_kb_per_s,    s.zone_link_kb_per_s,
+                          s.detail,         s.may_cancel,       s.retry_after,      s.direct,
+                          s.joins,          s.max_retry_after,  s.attempt_limit,    s.heed_within,
+                          s.cleared_within, s.cold_from,        s.cold_for,         s.tip_multiple,
+                          s.tip_window,     s.parent_cold_from, s.parent_cold_for,  s.parent_tip_multiple};
+    };
+    const auto each = [](const winchflow::ClassSettings& c) {
+        return std::tuple{c.name,       c.aim,         c.aim_stretch, c.give_up, c.worth,
+                          c.late_worth, c.effect,      c.scope,       c.window,  c.max_age,
+                          c.grace,      c.stale_worth, c.segmented,   c.uncached};
+    };
+    CHECK(all(a) == all(b) && a.classes.size() == 2 && b.classes.size() == 2);
+    for (std::size_t i = 0; i < 2; ++i) CHECK(each(a.classes[i]) == each(b.classes[i]));
+    CHECK(b.parent_kind == "parent" && b.gateways_in_zone == 2 && b.classes[1].uncached);
+    CHECK(from_file.connect_timeout == 400ms && from_file.seed == 0x8c1f30d27a5be964);
+    auto broken = *json;
+    broken["settings"]["classes"][0]["aim"] = "soon";
+    try {
+        (void)config::parse_config(broken);
+        CHECK(!"read");
+    } catch (const config::ConfigError& e) {
+        CHECK(std::string_view{e.what()}.find("settings.classes.0.aim") != std::string_view::npos);
+    }
+}
+
+}  // namespace
+
+int main() {
+    one_answer_by_the_deadline();
+    admission();
+    first_bytes();
+    boxes_by_id();
+    referrals();
+    phases();
+    settings_from_both_wires();
+    std::puts("core: every case holds");
+}
--- /dev/null
+++ b/tests/silverrail/program_test.cpp
@@ -0,0 +1,188 @@
+// The program itself: started with a configuration file, followed through its phases, ended by SIGTERM.
+#include <signal.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
+
+#include "config/config.h"
+#include "stand.h"
+
+using namespace silverrail;
+using namespace silverrail::stand;
+namespace asio = net::asio;
+namespace http = net::http;
+
+namespace {
+
+const std::string kObject = "7f3a9c21e0b4d655";
+
+// A bulletin that says what it is told to, and can be cut off.
+class Bulletin {
+public:
+    explicit Bulletin(asio::io_context& io) : acceptor_(io, loopback()) { accept(); }
+    std::string address() const { return text_of(acceptor_.local_endpoint()); }
+    void say(const std::string& text) { asio::write(*socket_, asio::buffer(text)); }
+    void cut() { socket_->close(); }
+    std::vector<std::string> resumed_after;
+
+private:
+    void accept() {
+        acceptor_.async_accept([this](const net::error_code& error, tcp::socket socket) {
+            if (error) return;
+            socket_.emplace(std::move(socket));
+            request_ = {};
+            buffer_.clear();
+            http::async_read(*socket_, buffer_, request_, [this](const net::error_code& e, std::size_t) {
+                if (e) return accept();
+                CHECK(request_.target() == "/bulletins");
+                const auto last = request_["Last-Event-ID"];
+                say("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n: here\n\n");
+                resumed_after.emplace_back(last.data(), last.size());
+                accept();
+            });
+        });
+    }
+    tcp::acceptor acceptor_;
+    std::optional<tcp::socket> socket_;
+    net::beast::flat_buffer buffer_;
+    Request request_;
+};
+
+std::string box_json(const std::string& id, const std::string& address, const char* kind, const char* state) {
+    return R"({"id":")" + id + R"(","addr":")" + address + R"(","zone":")" +
+           (std::string_view{kind} == "small-box" ? "edge-1" : "north") + R"(","kind":")" + kind +
+           R"(","cell":1,"state":")" + state + R"(","weight":10,"started_ms":0})";
+}
+
+// Where it listens: a free port, let go right before.
+tcp::endpoint free_endpoint() {
+    asio::io_context io;
+    return tcp::acceptor{io, loopback()}.local_endpoint();
+}
+
+class Program {
+public:
+    Program(const std::string& bulletin, const std::string& box) : at(free_endpoint()) {
+        folder_ = std::filesystem::temp_directory_path() / ("silverrail-run-" + std::to_string(::getpid()));
+        std::filesystem::create_directory(folder_);
+        const auto file = folder_ / "config.json";
+        std::ofstream{file} << R"({"name":"n0","listen":")" << text_of(at) << R"(","seed":"1","bulletin":")"
+                            << bulletin
+                            << R"(","known":{"no":1,"items":[{"no":1,"roster":{"full":true,"servers":[)"
+                            << box_json("s-a", box, "small-box", "active") << ","
+                            << box_json("s-p", "127.0.0.1:9", "parent", "active") << ","
+                            << box_json("s-o", "127.0.0.1:9", "origin", "active") << R"(]}}]},"settings":{
+            "allowed":{"cancel":true,"connect-timeout":400000000,"conn-idle":15000000000,"retry-after":true,
+            "max-retry-after":500000000,"try-limit":6},"classes":[{"name":"pages","aim":250000000,
+            "give-up":5000000000,"effect":"pure"}],"zone":"edge-1","dcs":["north","edge-1"],"weights":"rough",
+            "kinds":["small-box","parent","origin"],"family-info":{"second-tier-kind":1,"origin-kind":2},
+            "invariants":{}}})";
+        pid_ = ::fork();
+        if (pid_ == 0) {
+            ::setenv("EDGE_CONFIG", file.c_str(), 1);
+            ::unsetenv("EDGE_LISTEN");
+            ::execl(SILVERRAIL_PROGRAM, SILVERRAIL_PROGRAM, nullptr);
+            ::_exit(127);
+        }
+    }
+    ~Program() {
+        if (pid_ > 0) ::kill(pid_, SIGKILL);
+        std::filesystem::remove_all(folder_);
+    }
+    void end() { CHECK(::kill(pid_, SIGTERM) == 0); }
+    bool ended() {
+        int status = 0;
+        if (pid_ > 0 && ::waitpid(pid_, &status, WNOHANG) == pid_) {
+            pid_ = -1;
+            CHECK(WIFEXITED(status) && WEXITSTATUS(status) == 0);
+        }
+        return pid_ < 0;
+    }
+    bool listens() {
+        asio::io_context io;
+        tcp::socket socket{io};
+        net::error_code error;
+        socket.connect(at, error);
+        return !error;
+    }
+    tcp::endpoint at;
+
+private:
+    std::filesystem::path folder_;
+    pid_t pid_ = -1;
+};
+
+unsigned get(asio::io_context& io, Client& client, const std::string& target, std::string* body = nullptr) {
+    client.send(Request{http::verb::get, target, 11});
+    run_until(io, [&] { return client.done; });
+    CHECK(!client.broken);
+    if (body) *body = client.response.body();
+    return client.status();
+}
+
+}  // namespace
+
+int main() {
+    asio::io_context io;
+    Bulletin bulletin{io};
+    Box box{io};
+    Box second{io};
+    Program program{bulletin.address(), box.address()};
+    run_until(io, [&] { return program.listens(); });
+    Client client{io, program.at};
+    CHECK(get(io, client, "/alive") == 200);
+
+    // The list of the start serves before the bulletin has said anything; then it resumes after that.
+    client.send(ask("pages", kObject));
+    run_until(io, [&] { return client.done; });
+    CHECK(client.status() == 200 && box.seen.size() == 1);
+    run_until(io, [&] { return bulletin.resumed_after.size() == 1; });
+    CHECK(bulletin.resumed_after[0] == "1");
+    const auto purges = [&](const char* wanted) {
+        std::string counters;
+        run_until(io, [&] {
+            CHECK(get(io, client, "/counters", &counters) == 200);
+            return counters.find(wanted) != std::string::npos;
+        });
+    };
+    bulletin.say("id: 2\ndata: {\"no\":2,\"recall\":{\"lot\":3,\"issued\":1}}\n\n");
+    purges("\npurges 1\n");
+    // Cut off, it connects anew and says what it had last; what it is told again is not taken twice.
+    bulletin.cut();
+    run_until(io, [&] { return bulletin.resumed_after.size() == 2; });
+    CHECK(bulletin.resumed_after[1] == "2");
+    bulletin.say(
+        "id: 2\ndata: {\"no\":2,\"recall\":{\"lot\":3,\"issued\":1}}\n\n"
+        "id: 3\ndata: {\"no\":3,\"roster\":{\"version\":2,\"full\":false,\"servers\":[" +
+        box_json("s-a", box.address(), "small-box", "left") + "," +
+        box_json("s-b", second.address(), "small-box", "active") + "]}}\n\n");
+    run_until(io, [&] { return box.closed == 1; });  // the old box's connection is dropped
+    purges("\npurges 1\n");
+    client.send(ask("pages", kObject));
+    run_until(io, [&] { return client.done; });
+    CHECK(client.status() == 200 && second.seen.size() == 1);
+    // Silence without an end: no comment comes, so the connection is taken for dead.
+    run_until(io, [&] { return bulletin.resumed_after.size() == 3; });
+    CHECK(bulletin.resumed_after[2] == "3");
+
+    // SIGTERM: what is open is finished, new connections are still taken for a while, then it exits with 0.
+    second.act = Box::Act::stay_silent;
+    Client slow{io, program.at};
+    slow.send(ask("pages", kObject, 1800));
+    run_until(io, [&] { return second.seen.size() == 2; });
+    program.end();
+    std::string phase;
+    run_until(io, [&] { return get(io, client, "/alive", &phase) == 503; });
+    CHECK(phase == "draining");
+    second.act = Box::Act::answer;
+    Client late{io, program.at};
+    late.send(ask("pages", "00000000000000aa"));
+    run_until(io, [&] { return late.done; });
+    CHECK(late.status() == 200 && !slow.done);
+    run_until(io, [&] { return slow.done; });
+    CHECK(!slow.broken && slow.status() >= 200);  // its one answer, from another attempt or a refusal
+    run_until(io, [&] { return program.ended(); });
+    std::puts("program: it starts, follows the bulletin and ends as it should");
+}
