--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -72,8 +72,7 @@
 constexpr double kTrustLeast = 0.2;    // lower, and what was learned in a trouble outlives it
 constexpr double kFillLeast = 1;
 constexpr double kOverdue = 1.5;  // out for longer than this multiple of its sending time: taken as a fill
-// Slow: hubs further off differ by less than twice; a running mean over some three answers, as a gateway
-// hears from each parent every five seconds.
+// Slow: hubs further off differ by less than twice; a mean over some three answers, one in five seconds.
 constexpr double kSlow = 2;
 constexpr double kLearnPace = 0.3;
 constexpr double kPrior = 5;          // hits that the first guess of a sending time counts for
@@ -400,9 +399,9 @@
 
     // ---- rule guards ----
 
-    // Cold budget: this gateway's share of what a just started machine bears, as a token bucket in
-    // seconds of sending. Guards rule 4 for caches and parents alike; a charge that proves a hit is given
-    // back.
+    // Cold budget: this gateway's share of what a just started machine bears, as a token bucket in seconds of
+    // sending. Guards rule 4 for caches and parents; a charge that proves a hit is given back, and a
+    // referral, which brings more requests than can be counted, is never covered.
     struct Ramp {
         double from;
         Span length;
@@ -427,7 +426,7 @@
         m.budget_at = now_;
         return m.budget;
     }
-    bool affords(Member& m, double work) { return !cold(m) || refill(m) >= work; }
+    bool affords(Member& m, double work, bool once) { return !cold(m) || (once && refill(m) >= work); }
     void charge(Member& m, double work) {
         if (cold(m)) m.budget -= work;
     }
@@ -559,8 +558,7 @@
         Member* spill = nullptr;
         Member* again = nullptr;
         for (const auto& [score, m] : in_order(Role::cache, key)) {
-            if (!usable(*m) || !open_to_use(*m) || !affords(*m, work)) continue;
-            if (r.referred && cold(*m)) continue;  // one name brings more requests than any budget counts
+            if (!usable(*m) || !open_to_use(*m) || !affords(*m, work, !o.request.referred)) continue;
             if (m->outstanding >= room(*m, kFull)) continue;
             if (tried(o, *m)) {
                 if (!again) again = m;
@@ -580,8 +578,8 @@
         if (!class_of(o).uncached)
             for (const auto& [score, m] :
                  in_order(Role::parent, static_cast<std::uint64_t>(o.request.object)))
-                if (usable(*m) && !tried(o, *m) && open_to_use(*m) && affords(*m, work) &&
-                    !(o.request.referred && cold(*m)) && likely_fills(m) < room(*m, kFull))
+                if (usable(*m) && !tried(o, *m) && open_to_use(*m) &&
+                    affords(*m, work, !o.request.referred) && likely_fills(m) < room(*m, kFull))
                     return m;
         Member* origin = pick_origin();
         if (!origin || class_of(o).uncached || origin_fetches() < origin_room()) return origin;
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -3,7 +3,12 @@
 
 #include <deque>
 
-#include "core/stages.h"
+#include "core/admit.h"
+#include "core/book.h"
+#include "core/relay.h"
+#include "core/route.h"
+#include "core/send.h"
+#include "core/take_in.h"
 #include "log/log.h"
 
 namespace silverrail::core {
--- a/src/core/relay.cpp
+++ b/src/core/relay.cpp
@@ -1,6 +1,6 @@
-#include <utility>
+#include "core/relay.h"
 
-#include "core/stages.h"
+#include <utility>
 
 namespace silverrail::core {
 
--- /dev/null
+++ b/src/core/relay.h
@@ -0,0 +1,23 @@
+// Relay: the one final answer.
+#pragma once
+
+#include "core/counters.h"
+#include "core/open_call.h"
+
+namespace silverrail::core {
+
+class Relay {
+public:
+    explicit Relay(Counters& counters) : counters_(counters) {}
+    // False: it had its answer before.
+    bool answer(OpenCall& open, Answer answer);
+    static Answer served(AttemptEnd end);
+    static Answer refused(Span hold_off, bool timed_out);
+    static Answer failed(bool timed_out);
+    static Answer referred(std::string address);
+
+private:
+    Counters& counters_;
+};
+
+}  // namespace silverrail::core
--- a/src/core/route.cpp
+++ b/src/core/route.cpp
@@ -1,6 +1,6 @@
-#include <algorithm>
+#include "core/route.h"
 
-#include "core/stages.h"
+#include <algorithm>
 
 namespace silverrail::core {
 
--- /dev/null
+++ b/src/core/route.h
@@ -0,0 +1,21 @@
+// Route: the decision module, and the events it is told.
+#pragma once
+
+#include <vector>
+
+#include "core/types.h"
+
+namespace silverrail::core {
+
+class Route {
+public:
+    Route(winchflow::Settings settings, std::uint64_t seed) : router_(std::move(settings), seed) {}
+    std::vector<winchflow::Action> tell(const winchflow::Event& event, Time now);
+    winchflow::Router::Sizes sizes() const { return router_.sizes(); }
+
+private:
+    winchflow::Router router_;
+    Time last_{};  // the module's time must not run backwards
+};
+
+}  // namespace silverrail::core
--- a/src/core/take_in.cpp
+++ b/src/core/take_in.cpp
@@ -1,4 +1,4 @@
-#include "core/stages.h"
+#include "core/take_in.h"
 
 namespace silverrail::core {
 
--- a/src/log/log.cpp
+++ b/src/log/log.cpp
@@ -17,7 +17,7 @@
         return;
     }
     ++w.written;
-    char text[512];
+    char text[2048];
     va_list values;
     va_start(values, format);
     std::vsnprintf(text, sizeof text, format, values);
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,6 +1,6 @@
 // Wires the program together: configuration, core, upstream, fronts, bulletin, phases.
+#include <algorithm>
 #include <csignal>
-#include <cstdio>
 #include <cstdlib>
 
 #include "acme/client.h"
@@ -60,6 +60,10 @@
     z.server = name(c.server);
     z.server_address = c.server_address;
     z.mailbox = name(c.mailbox);
+    if (z.server.size() <= z.zone.size() || !std::equal(z.zone.rbegin(), z.zone.rend(), z.server.rbegin()))
+        throw config::ConfigError("dns: the server's name is not inside the zone");
+    if (!c.server_address.empty() && front::dns::address_data(c.server_address).empty())
+        throw config::ConfigError("dns: server_address is no address");
     z.ttl = c.ttl_s;
     z.deadline = c.deadline;
     return z;
@@ -208,7 +212,11 @@
             if (!error) finish();
         });
     }
-    void print_counters() { std::fputs(engine_.counters().text().c_str(), stderr); }
+    void print_counters() {
+        std::string text = engine_.counters().text();
+        std::replace(text.begin(), text.end(), '\n', ' ');
+        log_.line("counters", "%s", text.c_str());
+    }
 
     config::Config config_;
     config::Fronts fronts_;
@@ -245,7 +253,7 @@
                                                            fronts.empty() ? "deploy/fronts.json" : fronts)};
         return program.run();
     } catch (const std::exception& e) {
-        std::fprintf(stderr, "fatal %s\n", e.what());
+        silverrail::Log{}.line("fatal", "%s", e.what());
         return 1;
     }
 }
--- a/src/net/bulletin.h
+++ b/src/net/bulletin.h
@@ -14,7 +14,7 @@
 public:
     using Take = std::function<void(std::int64_t no, std::string_view data)>;
     // A comment comes each second: past this the connection is taken for dead.
-    static constexpr std::chrono::milliseconds kSilence{2500};
+    static constexpr std::chrono::milliseconds kSilence{1800};
 
     Bulletin(asio::io_context& io, tcp::endpoint at, std::int64_t last, Take take, Log& log);
     ~Bulletin();
