Read the configuration anew on SIGHUP and move the bulletin, its numbers going on

At fault: main.cpp took SIGTERM, SIGINT and SIGUSR1 only, so SIGHUP had its default action; the bulletin's address was fixed at its making (net/bulletin.h). The test fails against the old program (it is gone after the signal).

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -5,6 +5,7 @@
 #include <fstream>
 #include <limits>
 #include <memory>
+#include <set>
 #include <sstream>
 
 namespace silverrail::config {
@@ -208,9 +209,28 @@
         c.known_no = static_cast<std::int64_t>(known.number_or("no", 0));
         for (const Json::Value& item : known.list("items")) c.known.push_back(item);
     }
+    c.root = json;
+    c.root.removeMember("known");
     return c;
 }
 
+std::vector<std::string> need_restart(const Config& running, const Config& fresh) {
+    std::vector<std::string> names;
+    const auto differ = [&names](const Json::Value& a, const Json::Value& b, const std::string& path) {
+        std::set<std::string> keys;
+        for (const Json::Value* side : {&a, &b})
+            for (const auto& key : side->getMemberNames()) keys.insert(key);
+        for (const auto& key : keys)
+            if (a[key] != b[key]) names.push_back(path + key);
+    };
+    differ(running.root, fresh.root, "");
+    std::erase(names, "bulletin");
+    // The large one is told by its parts.
+    if (std::erase(names, "settings") > 0)
+        differ(running.root["settings"], fresh.root["settings"], "settings.");
+    return names;
+}
+
 Config load_config(const std::string& path) {
     std::ifstream file{path, std::ios::binary};
     if (!file) throw ConfigError("cannot read " + path);
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -27,12 +27,17 @@
     std::int64_t known_no = 0;    // the last event of `known`
     std::vector<Json::Value> known;
     winchflow::Settings settings;
+    Json::Value root;  // as read, less `known`
 };
 
 // Throws ConfigError, whose text names the key.
 Config parse_config(const Json::Value& root);
 Config load_config(const std::string& path);
 
+// The settings, by name, that differ in `fresh` and take a restart: all but the bulletin's address. What is
+// known so far is no setting; the bulletin itself tells what has come since.
+std::vector<std::string> need_restart(const Config& running, const Config& fresh);
+
 // address:port
 struct Endpoint {
     std::string host;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -32,6 +32,14 @@
     return value ? value : "";
 }
 
+// Guards the start: a signal that comes before there is somebody to take it waits until there is.
+void hold_signals(int how) {
+    sigset_t set;
+    sigemptyset(&set);
+    for (const int signal : {SIGTERM, SIGINT, SIGHUP, SIGUSR1}) sigaddset(&set, signal);
+    ::pthread_sigmask(how, &set, nullptr);
+}
+
 net::tcp::endpoint endpoint_of(const std::string& text) {
     const auto e = config::parse_endpoint(text);
     if (!e) throw config::ConfigError("not an address and a port: " + text);
@@ -85,8 +93,10 @@
 
 class Program {
 public:
-    Program(config::Config config, config::Fronts fronts)
-        : config_(std::move(config)),
+    // `file` is read anew on SIGHUP.
+    Program(std::string file, config::Config config, config::Fronts fronts)
+        : file_(std::move(file)),
+          config_(std::move(config)),
           fronts_(std::move(fronts)),
           timers_(io_),
           upstream_(io_, upstream_limits(config_, fronts_), clock_, log_),
@@ -96,6 +106,7 @@
               io_, endpoint_of(config_.listen), server_limits(),
               [this](auto session, auto request) { platform_.handle(session, std::move(request)); }, log_),
           signals_(io_, SIGTERM, SIGINT, SIGUSR1),
+          hangup_(io_, SIGHUP),
           poll_(io_) {
         lifecycle_.on_change([this](Lifecycle::Phase phase) { entered(phase); });
     }
@@ -119,6 +130,8 @@
         if (fronts_.dns.on()) start_dns();
         if (fronts_.acme.on()) start_acme();
         wait_for_signal();
+        wait_for_hangup();
+        hold_signals(SIG_UNBLOCK);
         lifecycle_.enter(Lifecycle::Phase::ready);
         io_.run();
         print_counters();
@@ -185,6 +198,26 @@
             wait_for_signal();
         });
     }
+    void wait_for_hangup() {
+        hangup_.async_wait([this](const net::error_code& error, int) {
+            if (error) return;
+            reload();
+            wait_for_hangup();
+        });
+    }
+    // The new file replaces nothing before it has been read whole and found good.
+    void reload() {
+        try {
+            config::Config fresh = config::load_config(file_);
+            for (const auto& name : config::need_restart(config_, fresh))
+                log_.line("reload", "%s has changed: not applied, takes a restart", name.c_str());
+            if (fresh.bulletin == config_.bulletin || !bulletin_)
+                return log_.line("reload", "read; the bulletin stays");
+            bulletin_->move_to(endpoint_of(fresh.bulletin));
+            config_.bulletin = fresh.bulletin;
+            log_.line("reload", "the bulletin is now at %s", config_.bulletin.c_str());
+        } catch (const std::exception& e) { log_.line("reload-failed", "%s; nothing was changed", e.what()); }
+    }
     void entered(Lifecycle::Phase phase) {
         log_.line("phase", "%s, %zu open calls, %zu client connections",
                   std::string{Lifecycle::name(phase)}.c_str(), engine_.open(), server_.connections());
@@ -218,6 +251,7 @@
         log_.line("counters", "%s", text.c_str());
     }
 
+    const std::string file_;
     config::Config config_;
     config::Fronts fronts_;
     Log log_;
@@ -235,6 +269,7 @@
     std::optional<net::HttpsClient> https_;
     std::optional<acme::Client> acme_;
     net::asio::signal_set signals_;
+    net::asio::signal_set hangup_;
     net::asio::steady_timer poll_;
     std::optional<net::Bulletin> bulletin_;
 };
@@ -245,12 +280,15 @@
 int main() {
     try {
         std::signal(SIGPIPE, SIG_IGN);
-        auto config = silverrail::config::load_config(silverrail::variable("EDGE_CONFIG"));
+        silverrail::hold_signals(SIG_BLOCK);
+        const std::string file = silverrail::variable("EDGE_CONFIG");
+        auto config = silverrail::config::load_config(file);
         if (const std::string listen = silverrail::variable("EDGE_LISTEN"); !listen.empty())
             config.listen = listen;
         const std::string fronts = silverrail::variable("SILVERRAIL_FRONTS");
-        silverrail::Program program{std::move(config), silverrail::config::load_fronts(
-                                                           fronts.empty() ? "deploy/fronts.json" : fronts)};
+        silverrail::Program program{
+            file, std::move(config),
+            silverrail::config::load_fronts(fronts.empty() ? "deploy/fronts.json" : fronts)};
         return program.run();
     } catch (const std::exception& e) {
         silverrail::Log{}.line("fatal", "%s", e.what());
--- a/src/net/bulletin.cpp
+++ b/src/net/bulletin.cpp
@@ -37,6 +37,16 @@
     if (link_) link_->close();
 }
 
+void Bulletin::move_to(const tcp::endpoint& at) {
+    if (at == at_) return;
+    at_ = at;
+    // Given up at once, half an event with it: the old address may stay open and tell nothing more.
+    if (const auto old = std::exchange(link_, nullptr)) old->close();
+    wait_.cancel();
+    pause_ = {};
+    connect();
+}
+
 void Bulletin::connect() {
     const auto link = link_ = std::make_shared<Link>(io_);
     link->silence.expires_after(kConnect);
@@ -105,7 +115,8 @@
     wait_.expires_after(pause_);
     pause_ = std::clamp(pause_ * 2, kFirstPause, kLongestPause);
     wait_.async_wait([this](const error_code& error) {
-        if (!error) connect();
+        // Guards against two connections: a move may have made one after this wait was over.
+        if (!error && !link_) connect();
     });
 }
 
--- a/src/net/bulletin.h
+++ b/src/net/bulletin.h
@@ -19,6 +19,8 @@
     Bulletin(asio::io_context& io, tcp::endpoint at, std::int64_t last, Take take, Log& log);
     ~Bulletin();
     void start() { connect(); }
+    // From now on at another address; the numbers of the events go on.
+    void move_to(const tcp::endpoint& at);
     std::int64_t last() const { return last_; }
 
 private:
--- a/tests/silverrail/program_test.cpp
+++ b/tests/silverrail/program_test.cpp
@@ -1,10 +1,12 @@
 // The program itself: started with a configuration file, followed through its phases, ended by SIGTERM.
+#include <fcntl.h>
 #include <signal.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
 #include <filesystem>
 #include <fstream>
+#include <sstream>
 
 #include "config/config.h"
 #include "stand.h"
@@ -64,29 +66,41 @@
 
 class Program {
 public:
-    Program(const std::string& bulletin, const std::string& box) : at(free_endpoint()) {
+    Program(const std::string& bulletin, const std::string& box) : at(free_endpoint()), box_(box) {
         folder_ = std::filesystem::temp_directory_path() / ("silverrail-run-" + std::to_string(::getpid()));
         std::filesystem::create_directory(folder_);
-        const auto file = folder_ / "config.json";
-        std::ofstream{file} << R"({"name":"n0","listen":")" << text_of(at) << R"(","seed":"1","bulletin":")"
-                            << bulletin
-                            << R"(","known":{"no":1,"items":[{"no":1,"roster":{"full":true,"servers":[)"
-                            << box_json("s-a", box, "small-box", "active") << ","
-                            << box_json("s-p", "127.0.0.1:9", "parent", "active") << ","
-                            << box_json("s-o", "127.0.0.1:9", "origin", "active") << R"(]}}]},"settings":{
-            "allowed":{"cancel":true,"connect-timeout":400000000,"conn-idle":15000000000,"retry-after":true,
-            "max-retry-after":500000000,"try-limit":6},"classes":[{"name":"pages","aim":250000000,
-            "give-up":5000000000,"effect":"pure"}],"zone":"edge-1","dcs":["north","edge-1"],"weights":"rough",
-            "kinds":["small-box","parent","origin"],"family-info":{"second-tier-kind":1,"origin-kind":2},
-            "invariants":{}}})";
+        file_ = folder_ / "config.json";
+        configure(bulletin, "1");
         pid_ = ::fork();
         if (pid_ == 0) {
-            ::setenv("EDGE_CONFIG", file.c_str(), 1);
+            ::setenv("EDGE_CONFIG", file_.c_str(), 1);
             ::unsetenv("EDGE_LISTEN");
+            const int log = ::open((folder_ / "log").c_str(), O_CREAT | O_WRONLY | O_APPEND, 0600);
+            ::dup2(log, STDERR_FILENO);
             ::execl(SILVERRAIL_PROGRAM, SILVERRAIL_PROGRAM, nullptr);
             ::_exit(127);
         }
     }
+    void configure(const std::string& bulletin, const std::string& seed) {
+        std::ofstream{file_} << R"({"name":"n0","listen":")" << text_of(at) << R"(","seed":")" << seed
+                             << R"(","bulletin":")" << bulletin
+                             << R"(","known":{"no":1,"items":[{"no":1,"roster":{"full":true,"servers":[)"
+                             << box_json("s-a", box_, "small-box", "active") << ","
+                             << box_json("s-p", "127.0.0.1:9", "parent", "active") << ","
+                             << box_json("s-o", "127.0.0.1:9", "origin", "active") << R"(]}}]},"settings":{
+            "allowed":{"cancel":true,"connect-timeout":400000000,"conn-idle":15000000000,"retry-after":true,
+            "max-retry-after":500000000,"try-limit":6},"classes":[{"name":"pages","aim":250000000,
+            "give-up":5000000000,"effect":"pure"}],"zone":"edge-1","dcs":["north","edge-1"],"weights":"rough",
+            "kinds":["small-box","parent","origin"],"family-info":{"second-tier-kind":1,"origin-kind":2},
+            "invariants":{}}})";
+    }
+    void spoil_configuration() { std::ofstream{file_} << R"({"listen":"127.0.0.1:1","bulletin":)"; }
+    bool logged(const std::string& text) {
+        std::ostringstream all;
+        all << std::ifstream{folder_ / "log"}.rdbuf();
+        return all.str().find(text) != std::string::npos;
+    }
+    void hang_up() { CHECK(::kill(pid_, SIGHUP) == 0); }
     ~Program() {
         if (pid_ > 0) ::kill(pid_, SIGKILL);
         std::filesystem::remove_all(folder_);
@@ -110,7 +124,9 @@
     tcp::endpoint at;
 
 private:
+    std::string box_;
     std::filesystem::path folder_;
+    std::filesystem::path file_;
     pid_t pid_ = -1;
 };
 
@@ -167,11 +183,40 @@
     run_until(io, [&] { return bulletin.resumed_after.size() == 3; });
     CHECK(bulletin.resumed_after[2] == "3");
 
+    // SIGHUP: a bad file changes nothing; a good one moves the bulletin, and its numbers go on. What is open,
+    // and the client's connection, are not touched.
+    program.spoil_configuration();
+    program.hang_up();
+    run_until(io, [&] { return program.logged("reload-failed"); });
+    second.act = Box::Act::stay_silent;
+    Client open{io, program.at};
+    open.send(ask("pages", "00000000000000bb", 4000));
+    run_until(io, [&] { return second.seen.size() == 2; });
+    Bulletin moved{io};
+    program.configure(moved.address(), "2");
+    program.hang_up();
+    run_until(io, [&] { return moved.resumed_after.size() == 1; });
+    CHECK(moved.resumed_after[0] == "3" && !open.broken);
+    run_until(io, [&] { return program.logged("reload seed has changed: not applied"); });
+    moved.say("id: 4\ndata: {\"no\":4,\"recall\":{\"lot\":3,\"issued\":1}}\n\n");
+    purges("\npurges 2\n");
+    CHECK(get(io, client, "/alive") == 200);
+    second.act = Box::Act::answer;
+    run_until(io, [&] { return open.done; });  // its one answer, from another attempt or a refusal
+    CHECK(!open.broken && open.status() >= 200);
+    // And again, back to the first.
+    const std::size_t before = bulletin.resumed_after.size();
+    program.configure(bulletin.address(), "1");
+    program.hang_up();
+    run_until(io, [&] { return bulletin.resumed_after.size() > before; });
+    CHECK(bulletin.resumed_after.back() == "4");
+
     // SIGTERM: what is open is finished, new connections are still taken for a while, then it exits with 0.
     second.act = Box::Act::stay_silent;
     Client slow{io, program.at};
+    const std::size_t seen = second.seen.size();
     slow.send(ask("pages", kObject, 1800));
-    run_until(io, [&] { return second.seen.size() == 2; });
+    run_until(io, [&] { return second.seen.size() > seen; });
     program.end();
     std::string phase;
     run_until(io, [&] { return get(io, client, "/alive", &phase) == 503; });
