--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -44,10 +44,12 @@
 constexpr double kFirstLook = 3.0;
 constexpr double kNextLook = 0.25;
 // Hung: a cache that goes on answering may leave single requests without one. Its answers and the source's
-// say what is usual; three times that, past most of the aim, is not waited for. A fill may be slow by itself.
+// say what is usual; three times that, past most of the aim, is not waited for. A fill may be slow by itself:
+// it takes longer, and fills that come in time otherwise.
 constexpr double kHungLook = 0.7;
-constexpr double kHungFill = 1.5;
-constexpr double kHungPace = 4;
+constexpr double kHungFill = 1.2;
+constexpr double kHungPace = 3;
+constexpr double kHungTrust = 0.9;
 constexpr int kSilentZone = 2;
 // Outlier ejection: failures in a row with none served between; the span doubles up to the longest.
 constexpr int kEjectAfter = 4;
@@ -759,7 +761,9 @@
         const bool repeatable =
             class_of(o).effect == Effect::pure && static_cast<int>(o.attempts.size()) < set_.attempt_limit;
         // Retries of what was refused or cut off come first: they are early enough to count.
-        const bool hung = !a.source && retry_budget_ > kRetryBurst / 4 && is_hung(o, a);
+        // A fill is only taken for hung while the ways are trusted: else it may just be slow.
+        const bool in_order = !a.source || std::min(fill_trust_, origin_trust_) > kHungTrust;
+        const bool hung = in_order && retry_budget_ > kRetryBurst / 4 && is_hung(o, a);
         if ((target_silent || source_silent || hung) && repeatable && take_retry())
             out_.push_back(Cancel{o.request.id, static_cast<std::uint32_t>(o.attempts.size() - 1)});
         else if (now_ < o.request.deadline)
