Keep nothing of a box that went: its pool entry goes with it

Checked: purges, tracker, timers, ids open and log windows are bounded; the fleet forgets at 256 that are gone. Now a connection in use owns its box's entry, an idle one is owned by it, and a forgotten entry ends with its last connection. The test lists 20 boxes that come and go, half of them under an open request, and finds none kept.

--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -126,7 +126,7 @@
     beast::flat_buffer buffer;
     std::shared_ptr<std::size_t> count;
     core::Time idle_since{};
-    std::uint64_t generation = 0;
+    std::shared_ptr<Box> box;  // the one that it was opened to; absent while it is idle there
     bool idle = false;
 };
 
@@ -156,7 +156,7 @@
         if (attempt->link) attempt->link->close();
     }
     for (auto& [id, box] : boxes_)
-        for (auto& link : box.idle) link->close();
+        for (auto& link : box->idle) link->close();
 }
 
 void Upstream::start(core::Order order, core::AttemptEvents& events) {
@@ -192,7 +192,9 @@
     }
     const tcp::endpoint endpoint{host, to->port};
     attempt->link = std::make_shared<Link>(io_, open_);
-    attempt->link->generation = boxes_[attempt->order.target].generation;
+    auto& box = boxes_[attempt->order.target];
+    if (!box) box = std::make_shared<Box>();
+    attempt->link->box = box;
     attempt->link->socket.open(endpoint.protocol(), error);
     if (error) {
         // No descriptor: nothing was sent, and the box has no part in it.
@@ -312,55 +314,60 @@
 // The connection goes back to the pool, unless the box has gone or started anew meanwhile.
 void Upstream::keep(const std::shared_ptr<Attempt>& attempt) {
     auto link = std::exchange(attempt->link, nullptr);
-    Box& box = boxes_[attempt->order.target];
-    if (link->generation != box.generation || box.idle.size() >= limits_.idle_each ||
-        link->buffer.size() > 0) {
+    const auto box = std::exchange(link->box, nullptr);
+    if (box->gone || box->idle.size() >= limits_.idle_each || link->buffer.size() > 0) {
         link->close();
         return;
     }
     link->buffer.clear();
     link->idle_since = clock_.now();
     link->idle = true;
-    box.idle.push_back(link);
-    watch(attempt->order.target, link);
+    box->idle.push_back(link);
+    watch(box, link);
 }
 
-void Upstream::watch(const core::CacheId& box, const std::shared_ptr<Link>& link) {
-    link->socket.async_wait(tcp::socket::wait_read,
-                            [this, box, weak = std::weak_ptr{link}](const error_code& error) {
-                                if (down_ || error == asio::error::operation_aborted) return;
-                                const auto idle = weak.lock();
-                                if (!idle || !idle->idle) return;
-                                idle->close();
-                                boxes_[box].idle.remove(idle);
-                                serve_waiting();
-                            });
+void Upstream::watch(const std::shared_ptr<Box>& box, const std::shared_ptr<Link>& link) {
+    link->socket.async_wait(tcp::socket::wait_read, [this, owner = std::weak_ptr{box},
+                                                     weak = std::weak_ptr{link}](const error_code& error) {
+        if (down_ || error == asio::error::operation_aborted) return;
+        const auto idle = weak.lock();
+        if (!idle || !idle->idle) return;
+        idle->close();
+        if (const auto at = owner.lock()) at->idle.remove(idle);
+        serve_waiting();
+    });
 }
 
 std::shared_ptr<Upstream::Link> Upstream::take_idle(const core::CacheId& id) {
     auto at = boxes_.find(id);
     if (at == boxes_.end()) return nullptr;
-    auto& idle = at->second.idle;
+    auto& idle = at->second->idle;
     while (!idle.empty()) {
         const auto link = idle.back();
         idle.pop_back();
         link->idle = false;
         error_code ignored;
         link->socket.cancel(ignored);  // the watch
-        if (!link->stale()) return link;
+        if (!link->stale()) {
+            link->box = at->second;
+            return link;
+        }
         link->close();
     }
     return nullptr;
 }
 
+// Guards against what piles up as boxes come and go: nothing of a box that went is kept but what is in use.
 void Upstream::forget(const core::CacheId& id) {
-    Box& box = boxes_[id];
-    ++box.generation;
-    for (auto& link : box.idle) {
+    const auto at = boxes_.find(id);
+    if (at == boxes_.end()) return;
+    const auto box = at->second;
+    boxes_.erase(at);
+    box->gone = true;
+    for (auto& link : std::exchange(box->idle, {})) {
         link->idle = false;
         link->close();
     }
-    box.idle.clear();
     serve_waiting();
 }
 
@@ -373,9 +380,9 @@
     for (; count > 0; --count) {
         Box* longest = nullptr;
         for (auto& [id, box] : boxes_)
-            if (!box.idle.empty() &&
-                (!longest || box.idle.front()->idle_since < longest->idle.front()->idle_since))
-                longest = &box;
+            if (!box->idle.empty() &&
+                (!longest || box->idle.front()->idle_since < longest->idle.front()->idle_since))
+                longest = box.get();
         if (!longest) return;
         longest->idle.front()->idle = false;
         longest->idle.front()->close();
@@ -394,12 +401,13 @@
 void Upstream::sweep() {
     const core::Time now = clock_.now();
     for (auto& [id, box] : boxes_)
-        while (!box.idle.empty() && box.idle.front()->idle_since + limits_.idle < now) {
-            box.idle.front()->idle = false;
-            box.idle.front()->close();
-            box.idle.pop_front();
+        while (!box->idle.empty() && box->idle.front()->idle_since + limits_.idle < now) {
+            box->idle.front()->idle = false;
+            box->idle.front()->close();
+            box->idle.pop_front();
         }
-    std::erase_if(boxes_, [](const auto& e) { return e.second.idle.empty() && e.second.generation == 0; });
+    // One that a connection in use belongs to has a second owner.
+    std::erase_if(boxes_, [](const auto& e) { return e.second->idle.empty() && e.second.use_count() == 1; });
     sweeper_.expires_after(std::chrono::seconds{1});
     sweeper_.async_wait([this](const error_code& error) {
         if (!error) sweep();
--- a/src/net/upstream.h
+++ b/src/net/upstream.h
@@ -40,13 +40,14 @@
     // Closes up to `count` idle connections, longest idle first.
     void shed(std::size_t count);
     std::size_t sockets() const { return *open_; }
+    std::size_t boxes() const { return boxes_.size(); }
 
 private:
     struct Link;
     struct Attempt;
     struct Box {
         std::list<std::shared_ptr<Link>> idle;  // longest idle first
-        std::uint64_t generation = 0;
+        bool gone = false;                      // forgotten while connections to it were in use
     };
     void begin(const std::shared_ptr<Attempt>& attempt);
     void connect(const std::shared_ptr<Attempt>& attempt);
@@ -57,7 +58,7 @@
     void unreadable(const std::shared_ptr<Attempt>& attempt, const error_code& error);
     void end(const std::shared_ptr<Attempt>& attempt, core::AttemptEnd end);
     void keep(const std::shared_ptr<Attempt>& attempt);
-    void watch(const core::CacheId& box, const std::shared_ptr<Link>& link);
+    void watch(const std::shared_ptr<Box>& box, const std::shared_ptr<Link>& link);
     std::shared_ptr<Link> take_idle(const core::CacheId& box);
     bool make_room();
     void serve_waiting();
@@ -68,7 +69,7 @@
     const core::Clock& clock_;
     Log& log_;
     asio::steady_timer sweeper_;
-    std::map<core::CacheId, Box> boxes_;
+    std::map<core::CacheId, std::shared_ptr<Box>> boxes_;
     std::map<core::AttemptKey, std::shared_ptr<Attempt>> attempts_;
     std::deque<std::shared_ptr<Attempt>> waiting_;
     std::shared_ptr<std::size_t> open_ = std::make_shared<std::size_t>(0);  // sockets, counted by Link
--- a/tests/silverrail/sockets_test.cpp
+++ b/tests/silverrail/sockets_test.cpp
@@ -175,6 +175,21 @@
     const std::size_t old = first.connections;
     ask_all();
     CHECK(first.seen.size() == before + 20 && first.seen.back().connection > old);
+    // What came and went leaves nothing behind, also where a request was open when it went.
+    for (int i = 0; i < 20; ++i) {
+        const std::string id = "s-new" + std::to_string(i);
+        router.list({listed(id, second.address())});
+        second.act = i % 2 ? Box::Act::answer : Box::Act::stay_silent;
+        const std::size_t seen = second.seen.size();
+        Client asks{io, router.server.local()};
+        asks.send(ask("pages", kObject));
+        run_until(io, [&] { return second.seen.size() > seen; });
+        if (i % 2) run_until(io, [&] { return asks.done; });
+        router.list({listed(id, second.address(), "small-box", Condition::gone)}, false);
+        asks.leave();
+        run_until(io, [&] { return router.engine.open() == 0; });
+    }
+    CHECK(router.upstream.boxes() == 0);
 }
 
 // Rule 4: a box that has just started is not sent more than its share, however many ask.
