Write and read trace files, and put tools on them: silverrail trace

Nothing recorded what the module was told and what it said.

Change: the core has an observer port (told, turned away, first byte, answered), absent by default. src/state holds the records and what follows from them without I/O: what is in force, the stories of calls, selections, sums, and the estimate of clock offsets. src/trace holds the file (chunks of packed columns with checksums, an index, each chunk readable alone), the tools info, verify, show, cut, merge, strip, summary, replay and synth, and src/cli puts them on the command line (CLI11). Calls carry their front and the client's address as bytes, answers their Made-At. The steady clock is read in whole microseconds and timers are rounded up to one: a trace then keeps the module's time exactly at about half the bytes. The recorder is not in yet.

Tests cut a file at every byte and flip a bit in every byte: nothing is read that was not written, and every flip is told of.

--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -59,24 +59,25 @@
     open.sink = std::move(sink);
     const auto class_index = take_in_.class_of(call);
     if (!class_index || call.deadline <= now) {
-        relay_.answer(open, Relay::failed(class_index.has_value()));
+        turn_away(open, call, class_index, Relay::failed(class_index.has_value()));
         return std::nullopt;
     }
     // Guards rule 1 (one final answer): a second request under an open id could be given the first one's.
     if (!take_in_.fits(call, *class_index, now) || take_in_.is_open(call.trace)) {
         ++counters_.unfit;
-        relay_.answer(open, Relay::failed(false));
+        turn_away(open, call, class_index, Relay::failed(false));
         return std::nullopt;
     }
     if (!admit_.admits(open_.size())) {
         ++counters_.not_admitted;
         log_.line("not-admitted", "%zu calls are open", open_.size());
-        relay_.answer(open, Relay::refused(kNotAdmittedHoldOff, false));
+        turn_away(open, call, class_index, Relay::refused(kNotAdmittedHoldOff, false));
         return std::nullopt;
     }
     const RequestId id = take_in_.next_id();
     take_in_.claim(call.trace);
     open.call = std::make_shared<const Call>(std::move(call));
+    open.id = id;
     open.class_index = *class_index;
     open.taken = now;
     open.guard = timers_.at(open.call->deadline + kGuardAfter, [this, id] { deadline(id); });
@@ -86,6 +87,17 @@
     return open_.contains(id) ? std::optional{id} : std::nullopt;
 }
 
+void Engine::turn_away(OpenCall& open, const Call& call, std::optional<std::size_t> class_index,
+                       Answer answer) {
+    if (observer_) observer_->turned_away(call, class_index.value_or(settings_.classes.size()), clock_.now());
+    relay_.answer(open, std::move(answer));
+}
+
+void Engine::watch(Observer* observer) {
+    observer_ = observer;
+    relay_.watch(observer, &clock_);
+}
+
 void Engine::abandon(RequestId id) {
     auto at = open_.find(id);
     if (at == open_.end() || at->second.answered()) return;
@@ -110,15 +122,19 @@
     for (const CacheId& id : fleet_.apply(change, clock_.now())) sender_.forget(id);
     winchflow::CacheList list{change.complete, {}};
     for (const Box& box : change.boxes) list.caches.push_back(box.entry);
+    origin_.change = &change;
     tell(std::move(list));
+    origin_ = {};
 }
 
 void Engine::apply(const PurgeNotice& purge) {
     ++counters_.purges;
     const auto unix_ms = clock_.unix_ms();
     purges_.add(purge, unix_ms);
+    origin_.purge = &purge;
     tell(winchflow::Purge{purge.object, purge.group,
                           std::chrono::milliseconds{std::max<std::int64_t>(0, unix_ms - purge.issued_ms)}});
+    origin_ = {};
 }
 
 // Events that arise while the module is being told of one wait for their turn.
@@ -128,13 +144,20 @@
     while (!events_.empty()) {
         const winchflow::Event next = std::move(events_.front());
         events_.pop_front();
-        for (const auto& action : route_.tell(next, clock_.now()))
-            std::visit([this](const auto& a) { act(a); }, action);
+        const auto actions = route_.tell(next, clock_.now());
+        if (observer_) observe(next, actions);
+        for (const auto& action : actions) std::visit([this](const auto& a) { act(a); }, action);
         if (const auto* outcome = std::get_if<winchflow::Outcome>(&next)) drop_if_done(outcome->request);
     }
     telling_ = false;
 }
 
+void Engine::observe(const winchflow::Event& event, const std::vector<winchflow::Action>& actions) {
+    Origin origin = origin_;
+    origin.calls = &open_;
+    observer_->told(event, route_.last(), actions, origin);
+}
+
 void Engine::act(const winchflow::Send& send) {
     auto at = open_.find(send.request);
     if (at == open_.end()) return;
@@ -199,6 +222,7 @@
     const auto oldest = send_.at_first_byte(*attempt.order, clock_.now(), clock_.unix_ms(), tightened);
     if (!oldest) ++counters_.held_at_first_byte;
     if (tightened) ++counters_.tightened;
+    if (observer_) observer_->first_byte(key, oldest, tightened, clock_.now());
     return oldest;
 }
 
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -5,6 +5,7 @@
 
 #include "core/admit.h"
 #include "core/book.h"
+#include "core/observer.h"
 #include "core/relay.h"
 #include "core/route.h"
 #include "core/send.h"
@@ -18,6 +19,9 @@
     Engine(winchflow::Settings settings, std::uint64_t seed, std::size_t most_open, const Clock& clock,
            Timers& timers, AttemptSender& sender, Log& log);
 
+    // Told of everything from here on; absent: nobody. It must outlive the engine or be taken away.
+    void watch(Observer* observer);
+
     // The sink gets exactly one answer, now or later, unless the call is abandoned first. Absent: it has
     // been answered already.
     std::optional<RequestId> take(Call call, std::shared_ptr<ReplySink> sink);
@@ -40,6 +44,8 @@
     void ended(const AttemptKey& key, AttemptEnd end) override;
 
     void tell(winchflow::Event event);
+    void observe(const winchflow::Event& event, const std::vector<winchflow::Action>& actions);
+    void turn_away(OpenCall& open, const Call& call, std::optional<std::size_t> class_index, Answer answer);
     void act(const winchflow::Send& send);
     void act(const winchflow::Cancel& cancel);
     void act(const winchflow::Refuse& refuse);
@@ -67,6 +73,8 @@
     Send send_;
     Relay relay_;
     Book book_;
+    Observer* observer_ = nullptr;
+    Origin origin_;  // of the list or purge that is being applied
     std::deque<winchflow::Event> events_;
     bool telling_ = false;
 };
--- a/src/core/open_call.h
+++ b/src/core/open_call.h
@@ -16,6 +16,7 @@
 };
 
 struct OpenCall {
+    RequestId id{};  // 0: turned away, never open
     std::shared_ptr<const Call> call;
     std::size_t class_index = 0;
     Time taken{};
--- a/src/core/relay.cpp
+++ b/src/core/relay.cpp
@@ -15,6 +15,7 @@
         case Answer::Kind::refused: ++counters_.refused; break;
         case Answer::Kind::failed: ++counters_.failed; break;
     }
+    if (observer_) observer_->answered(open.id, answer, clock_->now());
     sink->reply(std::move(answer));
     return true;
 }
@@ -24,6 +25,7 @@
     a.kind = end.unchanged ? Answer::Kind::unchanged : Answer::Kind::served;
     a.body = std::move(end.body);
     a.tag = std::move(end.tag);
+    a.made_ms = end.made_ms;
     return a;
 }
 
--- a/src/core/relay.h
+++ b/src/core/relay.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "core/counters.h"
+#include "core/observer.h"
 #include "core/open_call.h"
 
 namespace silverrail::core {
@@ -9,6 +10,10 @@
 class Relay {
 public:
     explicit Relay(Counters& counters) : counters_(counters) {}
+    void watch(Observer* observer, const Clock* clock) {
+        observer_ = observer;
+        clock_ = clock;
+    }
     // False: it had its answer before.
     bool answer(OpenCall& open, Answer answer);
     static Answer served(AttemptEnd end);
@@ -18,6 +23,8 @@
 
 private:
     Counters& counters_;
+    Observer* observer_ = nullptr;
+    const Clock* clock_ = nullptr;
 };
 
 }  // namespace silverrail::core
--- a/src/core/route.h
+++ b/src/core/route.h
@@ -11,6 +11,7 @@
 public:
     Route(winchflow::Settings settings, std::uint64_t seed) : router_(std::move(settings), seed) {}
     std::vector<winchflow::Action> tell(const winchflow::Event& event, Time now);
+    Time last() const { return last_; }  // what the module was given as the time of the last event
     winchflow::Router::Sizes sizes() const { return router_.sizes(); }
 
 private:
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -1,6 +1,7 @@
 // What the core deals in: calls, attempts and answers. No wire is known here.
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -17,6 +18,15 @@
 using winchflow::Span;
 using winchflow::Time;
 
+// Which front a call came through.
+enum class Front : std::uint8_t { platform, dns };
+
+// A client's address as bytes in network order: 4, 16, or none where the front does not tell.
+struct ClientAddress {
+    std::array<unsigned char, 16> bytes{};
+    std::uint8_t size = 0;
+};
+
 // One request as a front hands it over.
 struct Call {
     std::string trace;       // the client's own id, passed on unchanged
@@ -32,6 +42,8 @@
     std::shared_ptr<const std::string> body;  // of a write
     std::string have;                         // bare tag of the client's copy; empty: none
     bool referred = false;                    // the client goes to the box by itself: only a name is wanted
+    Front front = Front::platform;
+    ClientAddress client;
 };
 
 struct Answer {
@@ -42,6 +54,8 @@
     Span hold_off{};          // refused: how long to stay away; 0: nothing is said
     std::string box_address;  // referred
     bool timed_out = false;   // refused, failed: the deadline has passed
+    std::int64_t made_ms =
+        0;  // served, unchanged: Unix time at which the origin gave this copy out; 0: not told
 };
 
 struct AttemptKey {
@@ -71,9 +85,10 @@
     Note note = Note::none;
     Span source_wait{};
     winchflow::Load load{};
-    bool unchanged = false;  // good: the client's copy is the one
-    std::string body{};      // good
-    std::string tag{};       // good
+    bool unchanged = false;    // good: the client's copy is the one
+    std::string body{};        // good
+    std::string tag{};         // good
+    std::int64_t made_ms = 0;  // good: see Answer
 };
 
 }  // namespace silverrail::core
--- a/src/front/dns/front.cpp
+++ b/src/front/dns/front.cpp
@@ -33,7 +33,7 @@
       classes_{[this](const std::string& name) { return engine_.knows_class(name); },
                [this](const std::string& name) { return engine_.unsafe_class(name); }} {}
 
-void Front::handle(std::string_view bytes, bool datagram, net::DnsReply reply) {
+void Front::handle(std::string_view bytes, const net::DnsFrom& from, net::DnsReply reply) {
     const auto parsed = parse_query(bytes);
     if (const auto* bad = std::get_if<Unreadable>(&parsed)) {
         log_.line("bad-query", "%zu bytes", bytes.size());
@@ -41,10 +41,11 @@
         return;
     }
     const Query& query = std::get<Query>(parsed);
-    answer_query(query, datagram ? udp_limit(query) : 65535, std::move(reply));
+    answer_query(query, from, std::move(reply));
 }
 
-void Front::answer_query(const Query& query, std::size_t limit, net::DnsReply reply) {
+void Front::answer_query(const Query& query, const net::DnsFrom& from, net::DnsReply reply) {
+    const std::size_t limit = from.datagram ? udp_limit(query) : 65535;
     const auto say = [&](const Response& r) { reply({encode(query, r, zone_.zone, limit), {}, {}}); };
     if (query.edns && query.edns->version > 0) {
         Response r;
@@ -65,8 +66,11 @@
                                query.type == static_cast<std::uint16_t>(Type::aaaa);
     // Asked for both families, the module counts a read once: no call where no box has such an address.
     if (meaning.kind == Meaning::Kind::object && wants_address &&
-        engine_.lists_address(query.type == static_cast<std::uint16_t>(Type::aaaa)))
+        engine_.lists_address(query.type == static_cast<std::uint16_t>(Type::aaaa))) {
+        meaning.call.front = core::Front::dns;
+        meaning.call.client = from.client;
         return ask_core(query, std::move(meaning.call), limit, std::move(reply));
+    }
     say(fixed(query, meaning));
 }
 
--- a/src/front/dns/front.h
+++ b/src/front/dns/front.h
@@ -14,7 +14,7 @@
 public:
     Front(core::Engine& engine, const core::Clock& clock, ZoneSettings zone, Log& log);
     // `reply` gets one answer, or none for what must not be answered.
-    void handle(std::string_view bytes, bool datagram, net::DnsReply reply);
+    void handle(std::string_view bytes, const net::DnsFrom& from, net::DnsReply reply);
 
     // Proofs of a certificate order (TXT).
     void set_text(const Name& name, std::string text) { texts_.emplace(name, std::move(text)); }
@@ -23,7 +23,7 @@
 
 private:
     class Sink;
-    void answer_query(const Query& query, std::size_t limit, net::DnsReply reply);
+    void answer_query(const Query& query, const net::DnsFrom& from, net::DnsReply reply);
     Response negative(Rcode rcode) const;
     Response failure(Rcode rcode, Extended code, std::string text) const;
     Response fixed(const Query& query, const Meaning& meaning) const;
--- a/src/front/platform/platform.cpp
+++ b/src/front/platform/platform.cpp
@@ -140,6 +140,7 @@
         log_.line("bad-call", "%s", why->c_str());
         return session->respond({http::status::bad_request, 11});
     }
+    std::get<core::Call>(call).client = session->client();
     const auto id = engine_.take(std::get<core::Call>(std::move(call)), std::make_shared<Reply>(session));
     if (id) session->when_gone([&engine = engine_, id = *id] { engine.abandon(id); });
 }
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -4,6 +4,7 @@
 #include <cstdlib>
 
 #include "acme/client.h"
+#include "cli/trace.h"
 #include "config/config.h"
 #include "config/fronts.h"
 #include "core/engine.h"
@@ -143,8 +144,8 @@
         dns_.emplace(engine_, clock_, zone_settings(fronts_.dns), log_);
         dns_server_.emplace(
             io_, net::DnsLimits{},
-            [this](std::string_view query, bool datagram, net::DnsReply reply) {
-                dns_->handle(query, datagram, std::move(reply));
+            [this](std::string_view query, const net::DnsFrom& from, net::DnsReply reply) {
+                dns_->handle(query, from, std::move(reply));
             },
             clock_, log_);
         if (!fronts_.dns.udp.empty()) {
@@ -277,21 +278,38 @@
 }  // namespace
 }  // namespace silverrail
 
-int main() {
+namespace silverrail {
+namespace {
+int serve() {
     try {
         std::signal(SIGPIPE, SIG_IGN);
-        silverrail::hold_signals(SIG_BLOCK);
-        const std::string file = silverrail::variable("EDGE_CONFIG");
-        auto config = silverrail::config::load_config(file);
-        if (const std::string listen = silverrail::variable("EDGE_LISTEN"); !listen.empty())
-            config.listen = listen;
-        const std::string fronts = silverrail::variable("SILVERRAIL_FRONTS");
-        silverrail::Program program{
-            file, std::move(config),
-            silverrail::config::load_fronts(fronts.empty() ? "deploy/fronts.json" : fronts)};
+        hold_signals(SIG_BLOCK);
+        const std::string file = variable("EDGE_CONFIG");
+        auto config = config::load_config(file);
+        if (const std::string listen = variable("EDGE_LISTEN"); !listen.empty()) config.listen = listen;
+        const std::string fronts = variable("SILVERRAIL_FRONTS");
+        Program program{file, std::move(config),
+                        config::load_fronts(fronts.empty() ? "deploy/fronts.json" : fronts)};
         return program.run();
     } catch (const std::exception& e) {
-        silverrail::Log{}.line("fatal", "%s", e.what());
+        Log{}.line("fatal", "%s", e.what());
         return 1;
     }
 }
+}  // namespace
+}  // namespace silverrail
+
+int main(int argc, char** argv) {
+    CLI::App app{"silverrail, a request router. Without a sub-command it serves."};
+    app.name("silverrail");
+    app.require_subcommand(0, 1);
+    int code = 0;
+    bool serves = true;
+    app.add_subcommand("serve", "serves, as EDGE_CONFIG says");
+    silverrail::cli::add_trace(app, code);
+    app.callback([&] { serves = app.get_subcommands().empty() || app.got_subcommand("serve"); });
+    try {
+        app.parse(argc, argv);
+    } catch (const CLI::ParseError& e) { return app.exit(e) == 0 ? 0 : 2; }
+    return serves ? silverrail::serve() : code;
+}
--- a/src/net/asio.h
+++ b/src/net/asio.h
@@ -9,6 +9,8 @@
 #include <boost/beast/http.hpp>
 // clang-format on
 
+#include "core/types.h"
+
 namespace silverrail::net {
 
 namespace asio = boost::asio;
@@ -17,4 +19,7 @@
 using tcp = asio::ip::tcp;
 using boost::system::error_code;
 
+// As the core has it: bytes, no text.
+core::ClientAddress client_address(const asio::ip::address& address);
+
 }  // namespace silverrail::net
--- a/src/net/clock.cpp
+++ b/src/net/clock.cpp
@@ -4,6 +4,8 @@
 
 core::Timers::Handle TimerQueue::at(core::Time when, std::function<void()> action) {
     const Handle handle = ++last_;
+    // The clock reads whole microseconds: between two of them nothing could be due.
+    when = core::Time{std::chrono::ceil<std::chrono::microseconds>(when.time_since_epoch())};
     queue_.emplace(Key{when, handle}, std::move(action));
     due_.emplace(handle, when);
     arm();
--- a/src/net/clock.h
+++ b/src/net/clock.h
@@ -11,9 +11,10 @@
 
 class SystemClock : public core::Clock {
 public:
+    // In whole microseconds: what the module is told can then be kept in a trace at half the bytes, exactly.
     core::Time now() const override {
-        return core::Time{
-            std::chrono::duration_cast<core::Span>(std::chrono::steady_clock::now().time_since_epoch())};
+        return core::Time{std::chrono::floor<std::chrono::microseconds>(
+            std::chrono::steady_clock::now().time_since_epoch())};
     }
     std::int64_t unix_ms() const override {
         return std::chrono::duration_cast<std::chrono::milliseconds>(
--- a/src/net/dns_server.cpp
+++ b/src/net/dns_server.cpp
@@ -18,6 +18,9 @@
 
     void start() {
         alive();
+        error_code gone;
+        if (const auto at = stream_.lowest_layer().remote_endpoint(gone); !gone)
+            client_ = client_address(at.address());
         if constexpr (std::is_same_v<Stream, tcp::socket>) {
             read_length();
         } else {
@@ -59,7 +62,7 @@
     }
     void ask() {
         ++open_;
-        server_.handler_(query_, false, [weak = this->weak_from_this()](DnsAnswer answer) {
+        server_.handler_(query_, {false, client_}, [weak = this->weak_from_this()](DnsAnswer answer) {
             const auto self = weak.lock();
             if (!self || self->closed_) return;
             --self->open_;
@@ -96,6 +99,7 @@
         ended_ = true;
         if (open_ == 0 && unsent_.empty() && !writing_) close();
     }
+    core::ClientAddress client_{};
     void alive() {
         idle_.expires_after(server_.limits_.idle);
         idle_.async_wait([weak = this->weak_from_this()](const error_code& error) {
@@ -159,21 +163,21 @@
 }
 
 void DnsServer::receive() {
-    udp_->async_receive_from(asio::buffer(datagram_), from_,
-                             [this](const error_code& error, std::size_t size) {
-                                 if (stopping_ || error == asio::error::operation_aborted) return;
-                                 if (!error) {
-                                     // An answer that can't be sent at once is dropped, as any datagram may
-                                     // be: the resolver asks again.
-                                     handler_({datagram_.data(), size}, true,
-                                              [this, to = from_, alive = alive_](DnsAnswer answer) {
-                                                  if (!*alive || stopping_) return;
-                                                  error_code ignored;
-                                                  udp_->send_to(asio::buffer(due(answer)), to, 0, ignored);
-                                              });
-                                 }
-                                 receive();
-                             });
+    udp_->async_receive_from(
+        asio::buffer(datagram_), from_, [this](const error_code& error, std::size_t size) {
+            if (stopping_ || error == asio::error::operation_aborted) return;
+            if (!error) {
+                // An answer that can't be sent at once is dropped, as any datagram may
+                // be: the resolver asks again.
+                handler_({datagram_.data(), size}, {true, client_address(from_.address())},
+                         [this, to = from_, alive = alive_](DnsAnswer answer) {
+                             if (!*alive || stopping_) return;
+                             error_code ignored;
+                             udp_->send_to(asio::buffer(due(answer)), to, 0, ignored);
+                         });
+            }
+            receive();
+        });
 }
 
 std::optional<tcp::acceptor> DnsServer::open(const tcp::endpoint& at) {
--- a/src/net/dns_server.h
+++ b/src/net/dns_server.h
@@ -25,7 +25,12 @@
     std::string instead;
 };
 using DnsReply = std::function<void(DnsAnswer)>;
-using DnsHandler = std::function<void(std::string_view query, bool datagram, DnsReply reply)>;
+// Where a query came from and how.
+struct DnsFrom {
+    bool datagram = false;
+    core::ClientAddress client;
+};
+using DnsHandler = std::function<void(std::string_view query, const DnsFrom& from, DnsReply reply)>;
 
 struct DnsLimits {
     std::size_t connections = 48;
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -14,7 +14,10 @@
     : socket_(std::move(socket)),
       server_(server),
       limit_(socket_.get_executor()),
-      since_(std::chrono::steady_clock::now()) {}
+      since_(std::chrono::steady_clock::now()) {
+    error_code error;
+    if (const auto at = socket_.remote_endpoint(error); !error) client_ = client_address(at.address());
+}
 
 void HttpSession::start() {
     // Guards against silence: one limit from connecting to the end of the first request.
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 
+#include "core/types.h"
 #include "log/log.h"
 #include "net/asio.h"
 
@@ -33,6 +34,8 @@
 public:
     HttpSession(tcp::socket socket, HttpServer& server);
     void start();
+    // Where the client is; none if it had gone before it was taken.
+    const core::ClientAddress& client() const { return client_; }
     // The one answer to the request that is open; ignored once the client has gone.
     void respond(HttpResponse response);
     // Called once if the client goes away before its answer.
@@ -62,6 +65,7 @@
     void lost();
 
     tcp::socket socket_;
+    core::ClientAddress client_;
     HttpServer& server_;
     beast::flat_buffer buffer_;
     std::optional<http::request_parser<http::string_body>> parser_;
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -25,6 +25,13 @@
     return error == std::errc{} && end == text.data() + text.size() ? value : -1;
 }
 
+// Unix ms; 0 where it is not told or no time.
+std::int64_t made_at(std::string_view text) {
+    std::int64_t ms = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), ms);
+    return error == std::errc{} && end == text.data() + text.size() && ms > 0 ? ms : 0;
+}
+
 }  // namespace
 
 Note note_of(std::string_view word) {
@@ -95,6 +102,7 @@
             end.ending = Ending::good;
             end.unchanged = answer.result_int() == 304;
             end.tag = view(answer["Tag"]);
+            end.made_ms = made_at(view(answer["Made-At"]));
             end.body = std::move(answer.body());
             break;
         case 404: end.ending = Ending::miss; break;
--- /dev/null
+++ b/src/trace/observe.cpp
@@ -0,0 +1,161 @@
+#include "trace/observe.h"
+
+#include <charconv>
+
+namespace silverrail::trace {
+
+namespace {
+
+std::int64_t ns(core::Time t) { return t.time_since_epoch().count(); }
+
+// 16 lower-case hex digits are kept as their number, anything else as it is.
+bool as_number(std::string_view trace, std::uint64_t& number) {
+    if (trace.size() != 16) return false;
+    for (const char c : trace)
+        if (!((c >= '0' && c <= '9') || (c >= 'a' && c <= 'f'))) return false;
+    const auto [end, error] = std::from_chars(trace.data(), trace.data() + trace.size(), number, 16);
+    return error == std::errc{} && end == trace.data() + trace.size();
+}
+
+}  // namespace
+
+void Observing::put_taken(const core::Call& call, std::uint64_t id, std::size_t class_index, core::Time now) {
+    state::Taken t;
+    t.call = id;
+    if (!as_number(call.trace, t.trace_id)) t.trace = call.trace;
+    if (!left_out_.clients)
+        t.client = {reinterpret_cast<const char*>(call.client.bytes.data()), call.client.size};
+    t.front = static_cast<std::uint8_t>(call.front);
+    t.class_index = class_index;
+    t.object = static_cast<std::uint64_t>(call.object_id);
+    t.group = static_cast<std::uint64_t>(call.group);
+    t.group_known = call.group_known;
+    t.part = call.part;
+    t.size_kb = call.size_kb;
+    t.wait = (call.deadline - now).count();
+    if (!left_out_.tags) t.have = call.have;
+    t.write = call.write;
+    t.body_bytes = call.body ? call.body->size() : 0;
+    t.referred = call.referred;
+    put(now, t);
+}
+
+void Observing::put_list(const winchflow::CacheList& list, const core::BoxChange* change, core::Time now) {
+    put(now, state::List{list.caches.size(), list.complete});
+    for (std::size_t i = 0; i < list.caches.size(); ++i) {
+        const winchflow::ListedCache& c = list.caches[i];
+        state::Entry e;
+        e.id = c.id.address;
+        e.zone = c.zone;
+        e.kind = c.kind;
+        e.condition = static_cast<std::uint8_t>(c.condition);
+        e.weight = c.weight;
+        e.cell = static_cast<std::int64_t>(c.cell);
+        if (c.up_since) e.up_since = ns(*c.up_since);
+        if (change && i < change->boxes.size()) {
+            e.address = change->boxes[i].address;
+            e.started_unix_ms = change->boxes[i].started_ms;
+        }
+        put(now, e);
+    }
+}
+
+void Observing::put_action(const winchflow::Action& action, const core::Origin& origin, core::Time now) {
+    if (const auto* send = std::get_if<winchflow::Send>(&action)) {
+        state::Sent s;
+        s.call = static_cast<std::uint64_t>(send->request);
+        if (s.call != sent_call_) {
+            sent_call_ = s.call;
+            sent_more_ = 0;
+        }
+        s.attempt = sent_more_++;
+        if (origin.calls)
+            if (const auto at = origin.calls->find(send->request); at != origin.calls->end())
+                s.attempt += at->second.attempts.size();
+        s.target = send->target.address;
+        s.timeout = send->timeout.count();
+        if (send->fill) {
+            s.fills = true;
+            s.source = send->fill->source.address;
+            s.rank = static_cast<std::uint8_t>(send->fill->rank);
+            s.oldest = send->fill->oldest.count();
+            s.join = send->fill->join;
+            s.renew = send->fill->renew;
+            s.held_only = send->fill->held_only;
+        }
+        put(now, s);
+    } else if (const auto* cancel = std::get_if<winchflow::Cancel>(&action)) {
+        put(now, state::Cancelled{static_cast<std::uint64_t>(cancel->request), cancel->attempt});
+    } else if (const auto* refuse = std::get_if<winchflow::Refuse>(&action)) {
+        put(now, state::Refused{static_cast<std::uint64_t>(refuse->request), refuse->retry_after.count()});
+    } else if (const auto* fail = std::get_if<winchflow::Fail>(&action)) {
+        put(now, state::GivenUp{static_cast<std::uint64_t>(fail->request)});
+    } else if (const auto* timer = std::get_if<winchflow::SetTimer>(&action)) {
+        put(now, state::TimerSet{static_cast<std::uint64_t>(timer->id), timer->after.count()});
+    }
+}
+
+void Observing::told(const winchflow::Event& event, core::Time now,
+                     const std::vector<winchflow::Action>& actions, const core::Origin& origin) {
+    if (const auto* request = std::get_if<winchflow::Request>(&event)) {
+        const auto at = origin.calls ? origin.calls->find(request->id) : core::OpenCalls::const_iterator{};
+        if (origin.calls && at != origin.calls->end())
+            put_taken(*at->second.call, static_cast<std::uint64_t>(request->id), request->class_index, now);
+    } else if (const auto* outcome = std::get_if<winchflow::Outcome>(&event)) {
+        state::Ended e;
+        e.call = static_cast<std::uint64_t>(outcome->request);
+        e.attempt = outcome->attempt;
+        e.ending = static_cast<std::uint8_t>(outcome->ending);
+        e.note = static_cast<std::uint8_t>(outcome->note);
+        e.over = outcome->over;
+        e.took = outcome->took.count();
+        e.source_wait = outcome->source_wait.count();
+        e.in_flight = outcome->load.in_flight.value_or(state::kNoFigure);
+        e.utilisation = outcome->load.utilisation.value_or(state::kNoFigure);
+        e.hit_share = outcome->load.hit_share.value_or(state::kNoFigure);
+        e.link_fullness = outcome->load.link_fullness.value_or(state::kNoFigure);
+        put(now, e);
+    } else if (const auto* abandoned = std::get_if<winchflow::Abandoned>(&event)) {
+        put(now, state::Abandoned{static_cast<std::uint64_t>(abandoned->request)});
+    } else if (const auto* timer = std::get_if<winchflow::Timer>(&event)) {
+        put(now, state::Fired{static_cast<std::uint64_t>(timer->id)});
+    } else if (const auto* list = std::get_if<winchflow::CacheList>(&event)) {
+        put_list(*list, origin.change, now);
+    } else if (const auto* purge = std::get_if<winchflow::Purge>(&event)) {
+        put(now, state::Purge{!purge->object.has_value(),
+                              static_cast<std::uint64_t>(purge->object.value_or(winchflow::ObjectId{})),
+                              static_cast<std::uint64_t>(purge->group),
+                              origin.purge ? origin.purge->issued_ms : 0, purge->age.count()});
+    }
+    sent_call_ = 0;
+    for (const auto& action : actions) put_action(action, origin, now);
+}
+
+void Observing::turned_away(const core::Call& call, std::size_t class_index, core::Time now) {
+    put_taken(call, 0, class_index, now);
+}
+
+void Observing::first_byte(const core::AttemptKey& key, std::optional<core::Span> oldest, bool tightened,
+                           core::Time now) {
+    using V = state::FirstByte;
+    put(now, V{static_cast<std::uint64_t>(key.request), key.attempt,
+               static_cast<std::uint8_t>(!oldest     ? V::held
+                                         : tightened ? V::tightened
+                                                     : V::written),
+               oldest.value_or(core::Span{}).count()});
+}
+
+void Observing::answered(core::RequestId id, const core::Answer& answer, core::Time now) {
+    state::Answered a;
+    a.call = static_cast<std::uint64_t>(id);
+    a.kind = static_cast<std::uint8_t>(answer.kind);
+    a.timed_out = answer.timed_out;
+    a.hold_off = answer.hold_off.count();
+    a.bytes = answer.body.size();
+    a.made_unix_ms = answer.made_ms;
+    if (!left_out_.tags) a.tag = answer.tag;
+    a.box = answer.box_address;
+    put(now, a);
+}
+
+}  // namespace silverrail::trace
--- a/tests/silverrail/acme_test.cpp
+++ b/tests/silverrail/acme_test.cpp
@@ -391,7 +391,7 @@
         : router(io),
           front(router.engine, router.clock, zone(), router.log),
           server(
-              io, {}, [this](auto q, bool d, auto r) { front.handle(q, d, std::move(r)); }, router.clock,
+              io, {}, [this](auto q, auto d, auto r) { front.handle(q, d, std::move(r)); }, router.clock,
               router.log) {
         server.listen_udp({asio::ip::make_address("127.0.0.1"), 0});
         server.listen_tls(loopback());
--- a/tests/silverrail/dns_test.cpp
+++ b/tests/silverrail/dns_test.cpp
@@ -51,7 +51,7 @@
         : engine(settings(), 7, 1000, clock, timers, sender, log),
           front(engine, clock, std::move(z), log),
           server(
-              io, {}, [this](auto q, bool d, auto r) { front.handle(q, d, std::move(r)); }, clock, log) {
+              io, {}, [this](auto q, auto d, auto r) { front.handle(q, d, std::move(r)); }, clock, log) {
         server.listen_udp({net::asio::ip::make_address("127.0.0.1"), 0});
         server.listen_tcp(loopback());
     }
@@ -268,7 +268,7 @@
     HandClock clock;
     Log log;
     net::DnsReply held;
-    net::DnsServer server{io, {}, [&](auto, bool, auto reply) { held = std::move(reply); }, clock, log};
+    net::DnsServer server{io, {}, [&](auto, auto, auto reply) { held = std::move(reply); }, clock, log};
     server.listen_udp({net::asio::ip::make_address("127.0.0.1"), 0});
     for (const bool in_time : {true, false}) {
         held = nullptr;
