Record traces beside the requests, cut the program into parts, and add make demo

Change: src/app holds the program and a part for each optional subsystem (DNS with ACME, traces); main.cpp is the command line (serve, check, trace). The operator's file is deploy/silverrail.json, JSON with comments, with every unknown key and bad value told by its path; it takes the place of deploy/fronts.json. The recorder packs records into a ring of bytes on the request thread and writes them on one thread of its own; gaps tell of what was dropped or could not be written; rotation, bounds, a flight recorder on SIGUSR2 or on a share of failures. make demo runs the real program before stand-in servers and replays its trace; make demo and make test install what is missing.

Cause before change: the recorder's tests found three faults in its first form. Under a steady load the writer never came to flush (it emptied the queue without end); old files were not removed where each flush also changed the file; a gap in a chunk that failed to be written was itself lost. All three are mended.

--- /dev/null
+++ b/bench/trace_bench.cpp
@@ -0,0 +1,177 @@
+// Benchmarks of traces, beside their baseline: the same records as lines of JSON, searched in order.
+// `make bench`; figures of one run may be compared with each other, not with another machine's.
+#include <benchmark/benchmark.h>
+
+#include <fstream>
+#include <memory>
+#include <sstream>
+
+#include "config/config.h"
+#include "lab/site.h"
+#include "trace/queue.h"
+#include "trace/replay.h"
+#include "trace/synth.h"
+#include "trace/tools.h"
+
+namespace silverrail::trace {
+namespace {
+
+constexpr std::int64_t kSecond = 1'000'000'000;
+
+struct Made {
+    std::vector<std::unique_ptr<MemorySink>> sinks;
+    std::uint64_t calls = 0;
+    std::uint64_t records = 0;
+};
+Made make(double seconds, int routers) {
+    Made m;
+    SynthPlan plan;
+    plan.seconds = seconds;
+    plan.routers = routers;
+    plan.rate = routers == 1 ? 950 : 240;
+    plan.skew_ms = routers == 1 ? 0 : 1000;
+    plan.drift_ppm = routers == 1 ? 0 : 100;
+    plan.seed = 7;
+    for (const auto& t : synth(plan, [&](int, const std::string&, int, std::string&) -> ByteSink& {
+             m.sinks.push_back(std::make_unique<MemorySink>());
+             return *m.sinks.back();
+         }))
+        m.calls += t.calls;
+    for (const auto& s : m.sinks) {
+        const MemorySource source{s->bytes()};
+        Reader reader{source};
+        for (const auto& c : reader.chunks()) m.records += c.summary.records - c.summary.held;
+    }
+    return m;
+}
+
+// One router for two minutes, made once.
+class OneRouter : public benchmark::Fixture {
+public:
+    void SetUp(const benchmark::State&) override {
+        if (!made.sinks.empty()) return;
+        made = make(120, 1);
+        source = std::make_unique<MemorySource>(made.sinks[0]->bytes());
+        Reader reader{*source};
+        reader.each({}, [&](const Record& r, bool held, const state::InForce& f) {
+            if (!held) lines += lab::text_of(json_of(r, f.unix_ns(r.source, r.at))) + '\n';
+            return true;
+        });
+    }
+    Made made;
+    std::unique_ptr<MemorySource> source;
+    std::string lines;
+};
+
+BENCHMARK_F(OneRouter, Size)(benchmark::State& state) {
+    for (auto _ : state) benchmark::DoNotOptimize(made.calls);
+    const auto calls = static_cast<double>(made.calls);
+    state.counters["bytes_a_call"] = static_cast<double>(source->size()) / calls;
+    state.counters["json_bytes_a_call"] = static_cast<double>(lines.size()) / calls;
+    state.counters["times_smaller"] = static_cast<double>(lines.size()) / static_cast<double>(source->size());
+}
+
+BENCHMARK_F(OneRouter, CutTenSeconds)(benchmark::State& state) {
+    for (auto _ : state) {
+        Reader reader{*source};
+        state::Selection s;
+        s.from_unix_ns = reader.chunks()[0].summary.first_unix_ns + 60 * kSecond;
+        s.to_unix_ns = s.from_unix_ns + 10 * kSecond;
+        MemorySink out;
+        benchmark::DoNotOptimize(cut(reader, s, out).records);
+    }
+    state.SetItemsProcessed(state.iterations() * static_cast<std::int64_t>(made.records / 12));
+}
+BENCHMARK_F(OneRouter, CutTenSecondsOfJsonLines)(benchmark::State& state) {
+    const std::string from = "2025-12-01T08:01:00";
+    const std::string to = "2025-12-01T08:01:10";
+    for (auto _ : state) {
+        std::istringstream in{lines};
+        std::string line;
+        std::string out;
+        while (std::getline(in, line)) {
+            const auto json = config::parse_json(line);
+            const std::string time = (*json)["time"].asString();
+            if (time >= from && time < to) out += line + '\n';
+        }
+        benchmark::DoNotOptimize(out);
+    }
+}
+
+BENCHMARK_F(OneRouter, Summary)(benchmark::State& state) {
+    for (auto _ : state) {
+        Reader reader{*source};
+        Summarizer s;
+        s.add(reader);
+        benchmark::DoNotOptimize(s.result().records);
+    }
+    state.SetItemsProcessed(state.iterations() * static_cast<std::int64_t>(made.records));
+}
+BENCHMARK_F(OneRouter, ReadJsonLines)(benchmark::State& state) {
+    for (auto _ : state) {
+        std::istringstream in{lines};
+        std::string line;
+        std::uint64_t n = 0;
+        while (std::getline(in, line)) n += config::parse_json(line)->isObject();
+        benchmark::DoNotOptimize(n);
+    }
+    state.SetItemsProcessed(state.iterations() * static_cast<std::int64_t>(made.records));
+}
+
+BENCHMARK_F(OneRouter, Replay)(benchmark::State& state) {
+    for (auto _ : state) {
+        Reader reader{*source};
+        Replay replay{settings_of};
+        reader.each(
+            {}, [&](const Record& r, bool held, const state::InForce&) { return held || replay.take(r); });
+        replay.end();
+        if (replay.first()) state.SkipWithError("decisions differ");
+    }
+    state.SetItemsProcessed(state.iterations() * static_cast<std::int64_t>(made.records));
+}
+
+// What a call costs the request thread: all its records packed into the queue, which is emptied untimed.
+BENCHMARK_F(OneRouter, RequestThread)(benchmark::State& state) {
+    Reader reader{*source};
+    std::vector<state::Kept> records;
+    std::uint64_t calls = 0;
+    reader.each({}, [&](const Record& r, bool held, const state::InForce&) {
+        if (!held) records.emplace_back(r);
+        calls += std::holds_alternative<state::Taken>(r.body) && !held;
+        return records.size() < 20'000;
+    });
+    RecordQueue queue{16 << 20};
+    Record out;
+    for (auto _ : state) {
+        for (const auto& k : records) benchmark::DoNotOptimize(queue.push(k.record()));
+        state.PauseTiming();
+        while (queue.pop(out)) {}
+        state.ResumeTiming();
+    }
+    state.counters["ns_a_call"] =
+        benchmark::Counter(static_cast<double>(calls) * 1e-9,
+                           benchmark::Counter::kIsIterationInvariantRate | benchmark::Counter::kInvert);
+}
+
+void merge_four(benchmark::State& state) {
+    const Made made = make(120, 4);
+    for (auto _ : state) {
+        std::vector<std::unique_ptr<MemorySource>> sources;
+        std::vector<std::unique_ptr<Reader>> readers;
+        std::vector<MergeInput> inputs;
+        for (const auto& s : made.sinks) {
+            sources.push_back(std::make_unique<MemorySource>(s->bytes()));
+            readers.push_back(std::make_unique<Reader>(*sources.back()));
+            inputs.push_back({"", readers.back().get()});
+        }
+        MemorySink out;
+        benchmark::DoNotOptimize(merge(inputs, {}, out).records);
+    }
+    state.SetItemsProcessed(state.iterations() * static_cast<std::int64_t>(made.records));
+}
+BENCHMARK(merge_four)->Unit(benchmark::kMillisecond);
+
+}  // namespace
+}  // namespace silverrail::trace
+
+BENCHMARK_MAIN();
--- /dev/null
+++ b/src/app/program.cpp
@@ -0,0 +1,275 @@
+#include "app/program.h"
+
+#include <algorithm>
+#include <csignal>
+#include <cstdlib>
+#include <functional>
+#include <memory>
+#include <vector>
+
+#include "app/dns_part.h"
+#include "app/trace_part.h"
+#include "config/operator.h"
+#include "core/engine.h"
+#include "front/platform/platform.h"
+#include "lifecycle.h"
+#include "net/bulletin.h"
+#include "net/clock.h"
+#include "net/http_server.h"
+#include "net/upstream.h"
+
+namespace silverrail::app {
+namespace {
+
+using namespace std::chrono_literals;
+
+// Clients hold a third of the descriptors at most; some are kept for listeners, files and the bulletin.
+constexpr std::size_t kReserved = 48;
+// After SIGTERM new connections come for up to 0.4 s, and requests on open ones for 0.2 s more.
+constexpr auto kDrainFor = 700ms;
+
+const char* variable(const char* name) {
+    const char* value = std::getenv(name);
+    return value ? value : "";
+}
+
+// Guards the start: a signal that comes before there is somebody to take it waits until there is.
+void hold_signals(int how) {
+    sigset_t set;
+    sigemptyset(&set);
+    for (const int signal : {SIGTERM, SIGINT, SIGHUP, SIGUSR1, SIGUSR2}) sigaddset(&set, signal);
+    ::pthread_sigmask(how, &set, nullptr);
+}
+
+net::tcp::endpoint endpoint_of(const std::string& text) {
+    const auto e = config::parse_endpoint(text);
+    if (!e) throw config::ConfigError("not an address and a port: " + text);
+    return {net::asio::ip::make_address(e->host), e->port};
+}
+
+net::UpstreamLimits upstream_limits(const config::Config& c, const config::OperatorSettings& settings) {
+    net::UpstreamLimits limits;
+    const std::size_t clients = c.sockets / 3 + (settings.dns.on() ? net::DnsLimits{}.connections + 3 : 0);
+    limits.sockets = c.sockets > clients + kReserved + 16 ? c.sockets - clients - kReserved : 16;
+    if (c.connect_timeout > winchflow::Span{}) limits.connect_timeout = c.connect_timeout;
+    // A connection that both sides may close at the same moment is not worth keeping.
+    if (c.conn_idle > winchflow::Span{}) limits.idle = c.conn_idle * 2 / 3;
+    return limits;
+}
+
+class Program {
+public:
+    // What `sources` names is read anew on SIGHUP.
+    Program(Sources sources, config::Config config, const config::OperatorSettings& settings)
+        : sources_(std::move(sources)),
+          config_(std::move(config)),
+          settings_(settings),
+          timers_(io_),
+          upstream_(io_, upstream_limits(config_, settings_), clock_, log_),
+          engine_(config_.settings, config_.seed, config_.sockets, clock_, timers_, upstream_, log_),
+          platform_(engine_, clock_, lifecycle_, log_),
+          server_(
+              io_, endpoint_of(config_.listen), server_limits(),
+              [this](auto session, auto request) { platform_.handle(session, std::move(request)); }, log_),
+          signals_(io_, SIGTERM, SIGINT, SIGUSR1),
+          dump_(io_, SIGUSR2),
+          hangup_(io_, SIGHUP),
+          poll_(io_) {
+        lifecycle_.on_change([this](Lifecycle::Phase phase) { entered(phase); });
+        platform_.also_count([this] { return part_counters(); });
+        // What watches the core comes first: it has to see the first list.
+        if (settings_.trace.on()) {
+            Json::StreamWriterBuilder line;
+            line["indentation"] = "";
+            parts_.push_back(
+                std::make_unique<TracePart>(TracePart::World{io_, engine_, log_, config_.name, config_.seed,
+                                                             Json::writeString(line, config_.root)},
+                                            settings_.trace));
+        }
+        if (settings_.dns.on())
+            parts_.push_back(std::make_unique<DnsPart>(
+                DnsPart::World{io_, engine_, clock_, timers_, log_, config_.seed}, settings_));
+    }
+
+    int run() {
+        for (const auto& part : parts_) part->start();
+        for (const Json::Value& item : config_.known) take(item);
+        if (!config_.bulletin.empty()) {
+            bulletin_.emplace(
+                io_, endpoint_of(config_.bulletin), config_.known_no,
+                [this](std::int64_t, std::string_view data) {
+                    if (const auto json = config::parse_json(data))
+                        take(*json);
+                    else
+                        log_.line("bad-event", "%.*s", static_cast<int>(data.size()), data.data());
+                },
+                log_);
+            bulletin_->start();
+        }
+        server_.when_out_of_descriptors([this] { upstream_.shed(32); });
+        server_.start();
+        wait_for_signal();
+        wait_for_hangup();
+        wait_for_dump();
+        hold_signals(SIG_UNBLOCK);
+        lifecycle_.enter(Lifecycle::Phase::ready);
+        io_.run();
+        print_counters();
+        for (const auto& part : parts_) part->end();
+        return 0;
+    }
+
+private:
+    net::HttpLimits server_limits() const {
+        net::HttpLimits limits;
+        limits.connections = config_.sockets / 3 + kReserved / 2;
+        return limits;
+    }
+    void take(const Json::Value& item) {
+        auto event = config::parse_event(item, clock_.now(), clock_.unix_ms());
+        if (!event) return log_.line("bad-event", "not one that is known");
+        std::visit([this](const auto& what) { engine_.apply(what); }, event->what);
+    }
+    void wait_for_signal() {
+        signals_.async_wait([this](const net::error_code& error, int signal) {
+            if (error) return;
+            if (signal == SIGUSR1)
+                print_counters();
+            else
+                lifecycle_.enter(Lifecycle::Phase::draining);
+            wait_for_signal();
+        });
+    }
+    void wait_for_hangup() {
+        hangup_.async_wait([this](const net::error_code& error, int) {
+            if (error) return;
+            reload();
+            wait_for_hangup();
+        });
+    }
+    void wait_for_dump() {
+        dump_.async_wait([this](const net::error_code& error, int) {
+            if (error) return;
+            for (const auto& part : parts_) part->dump();
+            wait_for_dump();
+        });
+    }
+    // The new file replaces nothing before it has been read whole and found good.
+    void reload() {
+        try {
+            config::Config fresh = config::load_config(sources_.config);
+            std::vector<std::string> problems;
+            const auto settings = config::load_operator(sources_.settings, sources_.settings_named, problems);
+            if (!problems.empty()) throw config::ConfigError(problems.front());
+            for (const char* section : config::changed_sections(settings_, settings))
+                log_.line("reload", "%s has changed: not applied, takes a restart", section);
+            for (const auto& name : config::need_restart(config_, fresh))
+                log_.line("reload", "%s has changed: not applied, takes a restart", name.c_str());
+            if (fresh.bulletin == config_.bulletin || !bulletin_)
+                return log_.line("reload", "read; the bulletin stays");
+            bulletin_->move_to(endpoint_of(fresh.bulletin));
+            config_.bulletin = fresh.bulletin;
+            log_.line("reload", "the bulletin is now at %s", config_.bulletin.c_str());
+        } catch (const std::exception& e) { log_.line("reload-failed", "%s; nothing was changed", e.what()); }
+    }
+    void entered(Lifecycle::Phase phase) {
+        log_.line("phase", "%s, %zu open calls, %zu client connections",
+                  std::string{Lifecycle::name(phase)}.c_str(), engine_.open(), server_.connections());
+        if (phase == Lifecycle::Phase::draining) {
+            poll_.expires_after(kDrainFor);
+            poll_.async_wait([this](const net::error_code& error) {
+                if (!error) lifecycle_.enter(Lifecycle::Phase::finishing);
+            });
+        } else if (phase == Lifecycle::Phase::finishing) {
+            server_.stop();
+            for (const auto& part : parts_) part->stop();
+            finish();
+        } else if (phase == Lifecycle::Phase::stopped) {
+            io_.stop();
+        }
+    }
+    // Ends once every call has its answer and every answer is written.
+    void finish() {
+        if (engine_.open() == 0 && server_.connections() == 0) {
+            lifecycle_.enter(Lifecycle::Phase::stopped);
+            return;
+        }
+        poll_.expires_after(10ms);
+        poll_.async_wait([this](const net::error_code& error) {
+            if (!error) finish();
+        });
+    }
+    void print_counters() {
+        std::string text = engine_.counters().text() + part_counters();
+        std::replace(text.begin(), text.end(), '\n', ' ');
+        log_.line("counters", "%s", text.c_str());
+    }
+
+    std::string part_counters() {
+        std::string out;
+        for (const auto& part : parts_) out += part->counters();
+        return out;
+    }
+
+    const Sources sources_;
+    config::Config config_;
+    const config::OperatorSettings settings_;
+    Log log_;
+    net::asio::io_context io_{1};
+    net::SystemClock clock_;
+    net::TimerQueue timers_;
+    net::Upstream upstream_;
+    Lifecycle lifecycle_;
+    core::Engine engine_;
+    front::Platform platform_;
+    net::HttpServer server_;
+    std::vector<std::unique_ptr<Part>> parts_;
+    net::asio::signal_set signals_;
+    net::asio::signal_set dump_;
+    net::asio::signal_set hangup_;
+    net::asio::steady_timer poll_;
+    std::optional<net::Bulletin> bulletin_;
+};
+
+}  // namespace
+
+Sources sources_of_environment() {
+    Sources s;
+    s.config = variable("EDGE_CONFIG");
+    s.listen = variable("EDGE_LISTEN");
+    s.settings = variable("SILVERRAIL_SETTINGS");
+    s.settings_named = !s.settings.empty();
+    if (!s.settings_named) s.settings = "deploy/silverrail.json";
+    return s;
+}
+
+int serve(const Sources& sources) {
+    try {
+        std::signal(SIGPIPE, SIG_IGN);
+        hold_signals(SIG_BLOCK);
+        auto config = config::load_config(sources.config);
+        if (!sources.listen.empty()) config.listen = sources.listen;
+        std::vector<std::string> problems;
+        const auto settings = config::load_operator(sources.settings, sources.settings_named, problems);
+        for (const std::string& problem : problems) Log{}.line("fatal", "%s", problem.c_str());
+        if (!problems.empty()) return 1;
+        Program program{sources, std::move(config), settings};
+        return program.run();
+    } catch (const std::exception& e) {
+        Log{}.line("fatal", "%s", e.what());
+        return 1;
+    }
+}
+
+int check(const Sources& sources) {
+    std::vector<std::string> problems;
+    if (!sources.config.empty()) try {
+            (void)endpoint_of(config::load_config(sources.config).listen);
+        } catch (const std::exception& e) { problems.push_back(sources.config + ": " + e.what()); }
+    (void)config::load_operator(sources.settings, sources.settings_named, problems);
+    for (const std::string& problem : problems) std::printf("%s\n", problem.c_str());
+    if (problems.empty()) std::puts("all settings are good");
+    return problems.empty() ? 0 : 2;
+}
+
+}  // namespace silverrail::app
--- a/src/cli/trace.cpp
+++ b/src/cli/trace.cpp
@@ -253,7 +253,7 @@
     Replay replay{settings_of, diff};
     int code = 0;
     Routers routers;
-    std::string where = "of the trace";
+    bool whole = true;
     for (const std::string& path : files) {
         Input in{path};
         if (in.reader().flags() & kCut && !replay.events())
@@ -268,9 +268,10 @@
                              routers.take(r);
                              return held || replay.take(r);
                          });
+        whole = in.reader().indexed();
         code = std::max(code, in.tell());
     }
-    replay.end();
+    replay.end(whole);
     const auto& first = replay.first();
     if (as_json) {
         Json::Value j;
--- /dev/null
+++ b/src/config/operator.cpp
@@ -0,0 +1,130 @@
+#include "config/operator.h"
+
+#include <fstream>
+#include <memory>
+#include <sstream>
+
+#include "config/section.h"
+
+namespace silverrail::config {
+
+namespace {
+
+// Rule 3 (drains): a box may be named in a cache for 2 s after it was said to drain. Half of that is kept for
+// the answer's way, so more than a second is not to be had.
+constexpr std::int64_t kLongestTtl = 1;
+
+std::string endpoint(Section& s, const char* key) {
+    const std::string at = s.text(key);
+    if (!at.empty() && !parse_endpoint(at)) s.wrong(key, "not an address and a port: " + at);
+    return at;
+}
+
+DnsSettings parse_dns(Section s) {
+    DnsSettings d;
+    d.udp = endpoint(s, "udp");
+    d.tcp = endpoint(s, "tcp");
+    d.tls = endpoint(s, "tls");
+    d.zone = s.text("zone");
+    d.server = s.text("server");
+    d.server_address = s.text("server_address");
+    d.mailbox = s.text("mailbox");
+    d.ttl_s = static_cast<std::uint32_t>(s.whole("ttl_s", 1, 0, kLongestTtl));
+    d.deadline = std::chrono::milliseconds{s.whole("deadline_ms", 1000, 0, 60'000)};
+    if (d.on() && d.zone.empty()) s.wrong("zone", "needed where the front listens");
+    if (d.on() && d.server.empty()) s.wrong("server", "needed where the front listens");
+    return d;
+}
+
+AcmeSettings parse_acme(Section s, bool dns_on) {
+    AcmeSettings a;
+    a.directory = s.text("directory");
+    a.contact = s.text("contact");
+    a.folder = s.text("folder");
+    a.trust = s.text("trust");
+    if (a.on() && !dns_on) s.wrong("directory", "its proofs need the DNS front");
+    return a;
+}
+
+TraceSettings parse_trace(Section s) {
+    TraceSettings t;
+    t.folder = s.text("folder");
+    t.most_mb = s.whole("most_mb", t.most_mb, 1, 1 << 20);
+    t.file_mb = s.whole(
+        "file_mb", std::min<std::int64_t>(t.file_mb, std::max<std::int64_t>(1, t.most_mb / 2)), 1, 1 << 16);
+    t.file_minutes = s.whole("file_minutes", t.file_minutes, 1, 7 * 24 * 60);
+    t.flush_ms = s.whole("flush_ms", t.flush_ms, 20, 600'000);
+    t.queue_kb = s.whole("queue_kb", t.queue_kb, 64, 1 << 20);
+    t.flight_mb = s.whole("flight_mb", 0, 0, 1 << 14);
+    {
+        Section d = s.child("dump");
+        t.dump_at_failed_share = d.number("at_failed_share", 0, 0, 1);
+        t.dump_window_s = d.whole("window_s", t.dump_window_s, 1, 3600);
+        t.dump_least_answers = d.whole("least_answers", t.dump_least_answers, 1, 1'000'000);
+        t.dump_hold_off_s = d.whole("hold_off_s", t.dump_hold_off_s, 1, 86'400);
+    }
+    for (const std::string& word : s.words("leave_out", {"clients", "tags"})) {
+        t.leave_out_clients = t.leave_out_clients || word == "clients";
+        t.leave_out_tags = t.leave_out_tags || word == "tags";
+    }
+    if (t.file_mb * 2 > t.most_mb && t.flight_mb == 0 && t.most_mb > 1)
+        s.wrong("file_mb", "more than half of most_mb: no older file could be kept");
+    if (t.flight_mb > 0 && t.folder.empty()) s.wrong("folder", "needed: where a flight recorder's dumps go");
+    if (t.dump_at_failed_share > 0 && t.flight_mb == 0)
+        s.wrong("dump.at_failed_share", "works with flight_mb only");
+    return t;
+}
+
+}  // namespace
+
+std::vector<const char*> changed_sections(const OperatorSettings& a, const OperatorSettings& b) {
+    std::vector<const char*> names;
+    if (a.dns != b.dns) names.push_back("dns");
+    if (a.acme != b.acme) names.push_back("acme");
+    if (a.trace != b.trace) names.push_back("trace");
+    return names;
+}
+
+OperatorSettings parse_operator(const Json::Value& root, std::vector<std::string>& problems) {
+    OperatorSettings o;
+    Section file{root, "", problems};
+    o.dns = parse_dns(file.child("dns"));
+    o.acme = parse_acme(file.child("acme"), o.dns.on());
+    o.trace = parse_trace(file.child("trace"));
+    return o;
+}
+
+OperatorSettings load_operator(const std::string& path, bool must_exist, std::vector<std::string>& problems) {
+    std::ifstream file{path, std::ios::binary};
+    if (!file) {
+        if (must_exist) problems.push_back(path + ": can't be read");
+        return {};
+    }
+    std::ostringstream bytes;
+    bytes << file.rdbuf();
+    const std::string text = bytes.str();
+    Json::CharReaderBuilder builder;
+    builder["stackLimit"] = 64;
+    builder["collectComments"] = false;
+    builder["rejectDupKeys"] = true;
+    builder["failIfExtra"] = true;
+    const std::unique_ptr<Json::CharReader> reader{builder.newCharReader()};
+    Json::Value root;
+    std::string errors;
+    try {
+        if (!reader->parse(text.data(), text.data() + text.size(), &root, &errors)) {
+            while (!errors.empty() && errors.back() == '\n') errors.pop_back();
+            problems.push_back(path + ": not JSON: " + errors);
+            return {};
+        }
+    } catch (const Json::Exception& e) {
+        problems.push_back(path + ": not JSON: " + e.what());
+        return {};
+    }
+    std::vector<std::string> found;
+    OperatorSettings o = parse_operator(root, found);
+    for (const std::string& problem : found) problems.push_back(path + ": " + problem);
+    return o;
+}
+
+}  // namespace silverrail::config
--- a/src/front/platform/platform.cpp
+++ b/src/front/platform/platform.cpp
@@ -133,6 +133,7 @@
     if (request.method() == http::verb::get && request.target() == "/counters") {
         net::HttpResponse r{http::status::ok, 11};
         r.body() = engine_.counters().text();
+        if (more_counters_) r.body() += more_counters_();
         return session->respond(std::move(r));
     }
     auto call = parse_call(std::move(request), clock_.now());
--- a/src/front/platform/platform.h
+++ b/src/front/platform/platform.h
@@ -18,6 +18,8 @@
 public:
     Platform(core::Engine& engine, const core::Clock& clock, const Lifecycle& lifecycle, Log& log)
         : engine_(engine), clock_(clock), lifecycle_(lifecycle), log_(log) {}
+    // Further lines for `GET /counters`.
+    void also_count(std::function<std::string()> more) { more_counters_ = std::move(more); }
     void handle(const std::shared_ptr<net::HttpSession>& session, net::HttpRequest request);
 
 private:
@@ -25,6 +27,7 @@
     const core::Clock& clock_;
     const Lifecycle& lifecycle_;
     Log& log_;
+    std::function<std::string()> more_counters_;
 };
 
 }  // namespace silverrail::front
--- a/src/state/selection.h
+++ b/src/state/selection.h
@@ -16,12 +16,12 @@
     std::int64_t from_unix_ns = std::numeric_limits<std::int64_t>::min();  // this and later
     std::int64_t to_unix_ns = std::numeric_limits<std::int64_t>::max();    // before this
     // Each empty: all.
-    std::vector<std::string> classes;
-    std::vector<std::string>
-        outcomes;                    // kAnswerWords, abandoned, open, turned_away; or an ending of an attempt
-    std::vector<std::string> boxes;  // as target or source
-    std::vector<std::string> traces;  // clients' ids
-    std::vector<std::uint64_t> objects;
+    std::vector<std::string> classes{};
+    // kAnswerWords, abandoned, open, turned_away; or an ending of an attempt
+    std::vector<std::string> outcomes{};
+    std::vector<std::string> boxes{};   // as target or source
+    std::vector<std::string> traces{};  // clients' ids
+    std::vector<std::uint64_t> objects{};
 
     bool all_calls() const {
         return classes.empty() && outcomes.empty() && boxes.empty() && traces.empty() && objects.empty();
--- a/src/trace/file.cpp
+++ b/src/trace/file.cpp
@@ -86,12 +86,12 @@
     const Bytes bytes = block(kChunkKind, parts.head, parts.body);
     const std::uint64_t offset = bytes_;
     put(bytes);
-    index_.push_back({offset, bytes.size(), parts.summary});
+    if (limits_.index) index_.push_back({offset, bytes.size(), parts.summary});
 }
 
 void Writer::close() {
     flush();
-    put(index_at(bytes_, index_));
+    if (limits_.index) put(index_at(bytes_, index_));
 }
 
 Bytes index_at(std::uint64_t offset, const std::vector<Placed>& chunks) {
--- a/src/trace/file.h
+++ b/src/trace/file.h
@@ -29,9 +29,12 @@
 };
 
 struct WriterLimits {
-    std::size_t records = 65536;         // of a chunk
-    std::int64_t span = 30'000'000'000;  // ns from a chunk's first record to its last; 0: any
-    int level = 3;                       // of zstd
+    std::size_t records = 65536;  // of a chunk
+    // ns from a chunk's first record to its last; 0: any
+    std::int64_t span = 30'000'000'000;
+    int level = 3;  // of zstd
+    bool index =
+        true;  // false: nothing is remembered of chunks that were written, and `close` writes no index
 };
 
 // A chunk, and where in the file it stands.
@@ -57,6 +60,7 @@
     std::uint64_t bytes() const { return bytes_; }
     std::uint64_t records() const { return records_; }
     const state::InForce& in_force() const { return in_force_; }
+    state::InForce release() { return std::move(in_force_); }  // for the next writer; this one is done
 
 private:
     void begin();
--- a/src/trace/replay.cpp
+++ b/src/trace/replay.cpp
@@ -219,7 +219,8 @@
     } else if (const auto* t2 = std::get_if<state::TimerSet>(&record.body)) {
         say(SetTimer{TimerId{t2->timer}, Span{t2->after}});
     } else if (const auto* gap = std::get_if<state::Gap>(&record.body)) {
-        compare(record.source, r);
+        // What was said to the last event may be among what is missing: it can't be compared.
+        r.comparing = false;
         stopped_ =
             std::to_string(gap->records) + " records are missing here: what the module was told is not whole";
         return false;
@@ -227,8 +228,9 @@
     return !(first_ && !go_on_);
 }
 
-void Replay::end() {
-    for (auto& [source, r] : routers_) compare(source, r);
+void Replay::end(bool whole) {
+    for (auto& [source, r] : routers_)
+        if (whole) compare(source, r);
 }
 
 void Replay::tell(std::uint32_t source, Router& r, const Event& event, std::int64_t at, std::uint64_t call) {
--- a/src/trace/replay.h
+++ b/src/trace/replay.h
@@ -48,7 +48,8 @@
     explicit Replay(SettingsOf settings_of, bool go_on = false);
     // In order. False: it has seen enough.
     bool take(const state::Record& record);
-    void end();
+    // `whole`: the trace ended in good order. Otherwise what was said to its last event may be cut off.
+    void end(bool whole = true);
 
     std::uint64_t events() const { return events_; }
     std::uint64_t decisions() const { return decisions_; }
