Put twins together: one endpoint_of, one JSON line, one way to empty the trigger's window

Need: read over once more, the work on traces held the same things twice. endpoint_of stood in two files of src/app; JSON on one line was written in the laboratory, which the command line and the program then leaned on or wrote again; the failure trigger emptied its window after a pause in two ways, of which the general one does for both; the recorder's settings were made twice at its start.

Change: app/endpoint.h, config::json_line, and the general way alone. Behaviour and tests are as they were.

--- a/bench/trace_bench.cpp
+++ b/bench/trace_bench.cpp
@@ -67,7 +67,7 @@
         source = std::make_unique<MemorySource>(made.sinks[0]->bytes());
         Reader reader{*source};
         reader.each({}, [&](const Record& r, bool held, const state::InForce& f) {
-            if (!held) lines += lab::text_of(json_of(r, f.unix_ns(r.source, r.at))) + '\n';
+            if (!held) lines += config::json_line(json_of(r, f.unix_ns(r.source, r.at))) + '\n';
             return true;
         });
     }
--- a/src/app/dns_part.cpp
+++ b/src/app/dns_part.cpp
@@ -1,17 +1,12 @@
 #include "app/dns_part.h"
 
+#include "app/endpoint.h"
 #include "net/tls.h"
 
 namespace silverrail::app {
 
 namespace {
 
-net::tcp::endpoint endpoint_of(const std::string& text) {
-    const auto e = config::parse_endpoint(text);
-    if (!e) throw config::ConfigError("not an address and a port: " + text);
-    return {net::asio::ip::make_address(e->host), e->port};
-}
-
 front::dns::ZoneSettings zone_settings(const config::DnsSettings& c) {
     const auto name = [](const std::string& text) {
         const auto parsed = front::dns::parse_name(text);
--- a/src/app/program.cpp
+++ b/src/app/program.cpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "app/dns_part.h"
+#include "app/endpoint.h"
 #include "app/trace_part.h"
 #include "config/operator.h"
 #include "core/engine.h"
@@ -41,12 +42,6 @@
     ::pthread_sigmask(how, &set, nullptr);
 }
 
-net::tcp::endpoint endpoint_of(const std::string& text) {
-    const auto e = config::parse_endpoint(text);
-    if (!e) throw config::ConfigError("not an address and a port: " + text);
-    return {net::asio::ip::make_address(e->host), e->port};
-}
-
 net::UpstreamLimits upstream_limits(const config::Config& c, const config::OperatorSettings& settings) {
     net::UpstreamLimits limits;
     const std::size_t clients = c.sockets / 3 + (settings.dns.on() ? net::DnsLimits{}.connections + 3 : 0);
@@ -79,11 +74,9 @@
         platform_.also_count([this] { return part_counters(); });
         // What watches the core comes first: it has to see the first list.
         if (settings_.trace.on()) {
-            Json::StreamWriterBuilder line;
-            line["indentation"] = "";
             parts_.push_back(
                 std::make_unique<TracePart>(TracePart::World{io_, engine_, log_, config_.name, config_.seed,
-                                                             Json::writeString(line, config_.root)},
+                                                             config::json_line(config_.root)},
                                             settings_.trace));
         }
         if (settings_.dns.on())
--- a/src/app/trace_part.cpp
+++ b/src/app/trace_part.cpp
@@ -65,8 +65,9 @@
     who.begun_at = steady_ns() / 1000 * 1000;
     who.offset = offset_now();
     auto folder = std::make_unique<trace::DiskFolder>(settings_.folder, who.router + "-");
-    recorder_.emplace(recorder_settings(settings_), std::move(who), std::move(folder));
-    observing_.emplace(*recorder_, recorder_settings(settings_).left_out);
+    const trace::RecorderSettings settings = recorder_settings(settings_);
+    recorder_.emplace(settings, std::move(who), std::move(folder));
+    observing_.emplace(*recorder_, settings.left_out);
     world_.engine.watch(&*observing_);
     world_.log.line("trace", "%s %s", settings_.flight_mb > 0 ? "kept in memory, dumps go to" : "recorded in",
                     settings_.folder.c_str());
--- a/src/cli/trace.cpp
+++ b/src/cli/trace.cpp
@@ -149,7 +149,7 @@
     }
 };
 
-void print(const Json::Value& json) { std::cout << lab::text_of(json) << '\n'; }
+void print(const Json::Value& json) { std::cout << config::json_line(json) << '\n'; }
 
 // ---- info, verify ------------------------------------------------------------------------------
 
@@ -387,7 +387,7 @@
         }
     }
     if (as_json)
-        std::fprintf(to, "%s\n", lab::text_of(j).c_str());
+        std::fprintf(to, "%s\n", config::json_line(j).c_str());
     else
         std::fprintf(to, "%llu records\n", ull{result.records});
     int code = 0;
@@ -448,7 +448,7 @@
     }
     if (!truth_file.empty()) {
         FileSink sink{truth_file};
-        sink.write(lab::text_of(j) + "\n");
+        sink.write(config::json_line(j) + "\n");
     }
     return 0;
 }
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -176,6 +176,12 @@
     return root;
 }
 
+std::string json_line(const Json::Value& json) {
+    Json::StreamWriterBuilder builder;
+    builder["indentation"] = "";
+    return Json::writeString(builder, json);
+}
+
 std::optional<Endpoint> parse_endpoint(std::string_view text) {
     const auto colon = text.rfind(':');
     if (colon == std::string_view::npos || colon == 0) return std::nullopt;
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -45,6 +45,9 @@
 };
 std::optional<Endpoint> parse_endpoint(std::string_view text);
 
+// JSON on one line.
+std::string json_line(const Json::Value& json);
+
 // Whole text as JSON; absent if it is not. Bounded in depth.
 std::optional<Json::Value> parse_json(std::string_view text);
 
--- a/src/lab/demo.cpp
+++ b/src/lab/demo.cpp
@@ -13,6 +13,7 @@
 #include <fstream>
 #include <random>
 
+#include "config/config.h"
 #include "lab/servers.h"
 
 namespace silverrail::lab {
@@ -211,10 +212,10 @@
         for (const auto& plan : plans_) all.push_back(listed(plan, "active"));
         config["known"]["no"] = 1;
         config["known"]["items"].append(roster_event(1, true, all));
-        std::ofstream{folder_ / "config.json"} << text_of(config);
+        std::ofstream{folder_ / "config.json"} << config::json_line(config);
         Json::Value settings;
         settings["trace"]["folder"] = (folder_ / "traces").string();
-        std::ofstream{folder_ / "settings.json"} << text_of(settings);
+        std::ofstream{folder_ / "settings.json"} << config::json_line(settings);
         pid_ = ::fork();
         if (pid_ == 0) {
             ::setenv("EDGE_CONFIG", (folder_ / "config.json").c_str(), 1);
--- a/src/lab/servers.cpp
+++ b/src/lab/servers.cpp
@@ -239,7 +239,7 @@
     }
     Json::Value numbered = event;
     numbered["no"] = Json::Int64{last() + 1};
-    events_.push_back(lab::text_of(numbered));
+    events_.push_back(config::json_line(numbered));
     for (const auto& link : links_) write(link);
 }
 
--- a/src/lab/site.cpp
+++ b/src/lab/site.cpp
@@ -124,10 +124,4 @@
     return e;
 }
 
-std::string text_of(const Json::Value& json) {
-    Json::StreamWriterBuilder builder;
-    builder["indentation"] = "";
-    return Json::writeString(builder, json);
-}
-
 }  // namespace silverrail::lab
--- a/src/lab/site.h
+++ b/src/lab/site.h
@@ -34,6 +34,4 @@
 Json::Value roster_event(std::int64_t no, bool full, const std::vector<Json::Value>& servers);
 Json::Value recall_event(std::int64_t no, const std::string& object, std::int64_t issued_ms);
 
-std::string text_of(const Json::Value& json);  // on one line
-
 }  // namespace silverrail::lab
--- a/src/state/failure_trigger.cpp
+++ b/src/state/failure_trigger.cpp
@@ -21,15 +21,7 @@
     if (settings_.share <= 0) return false;
     const std::int64_t width =
         std::max<std::int64_t>(1, settings_.window_ns / static_cast<std::int64_t>(kSlots));
-    if (const std::int64_t slot = std::max<std::int64_t>(0, at) / width; !any_ || slot > slot_) {
-        // After a pause longer than the window all slots are old; they are emptied one by one all the same.
-        if (any_ && slot - slot_ > static_cast<std::int64_t>(kSlots)) {
-            slots_ = {};
-            all_ = failed_ = 0;
-            slot_ = slot;
-        }
-        move_to(slot);
-    }
+    if (const std::int64_t slot = std::max<std::int64_t>(0, at) / width; !any_ || slot > slot_) move_to(slot);
     Slot& now = slots_[static_cast<std::size_t>(slot_) % kSlots];
     ++now.all;
     ++all_;
--- a/src/trace/synth.cpp
+++ b/src/trace/synth.cpp
@@ -231,7 +231,7 @@
           engine_(config::parse_config(config_).settings, seed, 1024, clock_, timers_, sender_, log),
           random_(seed ^ 0xc0ffee) {
         incarnation_unix_ns = clock_.unix_ns();
-        const std::string settings = lab::text_of(config_);
+        const std::string settings = config::json_line(config_);
         state::Start start{name, incarnation_unix_ns, seed, "synthetic", settings, offset(), 0};
         writer_.add({clock_.steady(), 0, start});
         engine_.watch(&observing_);
--- a/src/trace/tools.cpp
+++ b/src/trace/tools.cpp
@@ -556,7 +556,6 @@
 // ---- summary -----------------------------------------------------------------------------------
 
 void Summarizer::add(Reader& reader, const Progress& progress) {
-    Routers& routers = routers_;
     const auto tally = [this] {
         return Tally{[this](std::uint32_t s, std::uint64_t c, double kb) { return routers_.aim(s, c, kb); }};
     };
@@ -583,7 +582,7 @@
         if (name == names.end())
             name = names
                        .emplace(std::pair{s.source, s.taken.class_index},
-                                routers.class_name(s.source, s.taken.class_index))
+                                routers_.class_name(s.source, s.taken.class_index))
                        .first;
         of(clocks.unix_ns(s.source, at)).take(s, s.taken_at == kNoTime ? "(taken earlier)" : name->second);
     }};
@@ -596,7 +595,7 @@
         pace.step();
         ++records;
         if (std::holds_alternative<Start>(r.body)) {
-            routers.take(r);
+            routers_.take(r);
             names.clear();
         }
         if (std::holds_alternative<Start>(r.body) || std::holds_alternative<Clock>(r.body)) clocks.take(r);
