--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -617,10 +617,17 @@
             learn(mean_work_, own_work(o));
             // A client's retry says nothing of how much the object is wanted, so it does not count.
             o.standing = r.is_retry ? tracker_.standing(r.object) : tracker_.read(r.object);
+            if (o.standing == Tracker::Standing::newcomer && !likely_zones_first(r.object))
+                o.standing = Tracker::Standing::tracked;
             end_epoch_if_due();
         }
         attempt(o);
     }
+    // Of a zone's requests this gateway sees one in so many: its first for an object is the zone's first as
+    // seldom, and else the object has shown at the others that it is wanted.
+    bool likely_zones_first(ObjectId object) const {
+        return unit(mix(seed_ ^ mix(static_cast<std::uint64_t>(object)))) * (set_.gateways_in_zone - 1) < 1;
+    }
     void learn(double& mean, double sample) { mean += kLearn * (sample - mean); }
 
     void end_epoch_if_due() {
