Eject a refused source at once and keep lost hub caches' fills off a crowded next one

Lines at fault: judge ejected an unreachable source only where another had answered this router within the 67 ms of the refusal; pick_source gave a lost one's fills to the next whatever it bore; origin_room's floor of one fetch for each router is a hundred where the share is a third.

Change: a refusal is proof; fills away from home pass a hub cache that takes over half of the aim while the store is quicker; a share of the store under one fetch is a share of the time, drawn from the seed.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -68,6 +68,7 @@
 // Reads at the origin while parents fail: all gateways together three zone links' worth, since an
 // origin behind parents is built for little more than what the parents lack; decreased on failures.
 constexpr double kOriginShare = 3;
+constexpr double kOriginZones = 0.75;  // and of so large a part of many zones
 constexpr double kOriginLeast = 1;
 // Fills: a link that carries N answers at top pace stays useful to all its fills up to about that many; past
 // it every fill is late, is dropped with its client and leaves no copy, and the hit share falls for good.
@@ -84,6 +85,7 @@
 constexpr double kOverdue = 1.5;  // out for longer than this multiple of its sending time: taken as a fill
 // Slow: hubs further off differ by less than twice; a mean over some three answers, one in five seconds.
 constexpr double kSlow = 2;
+constexpr double kBusy = 0.5;  // of the aim: a source that takes longer has no room for others' fills
 constexpr double kLearnPace = 0.3;
 constexpr double kPrior = 5;          // hits that the first guess of a sending time counts for
 constexpr double kLearnSlow = 0.005;  // so a trouble of some hundred hits hardly moves what was learned
@@ -557,9 +559,19 @@
         const double share = multiple * link_fits() / std::max(1, set_.gateways_in_zone);
         return std::max(kFillLeast, (share + kChance * std::sqrt(share)) * fill_trust_);
     }
-    double origin_room() const {
-        return std::max(kOriginLeast,
-                        kOriginShare * link_fits() * origin_trust_ / std::max(1, set_.gateways));
+    double origin_room() const { return std::max(kOriginLeast, origin_share()); }
+    double origin_share() const {
+        const double zones = static_cast<double>(set_.gateways) / std::max(1, set_.gateways_in_zone);
+        return std::max(kOriginShare, kOriginZones * zones) * link_fits() * origin_trust_ /
+               std::max(1, set_.gateways);
+    }
+    // A share under one fetch is a share of the time: one, then a pause that makes up for it. Else the sum
+    // over a hundred gateways is a hundred. Drawn, so that they do not fall into step.
+    void pause_origin(Span took) {
+        const double rest = 1 / origin_share() - 1;
+        if (rest <= 0) return;
+        const double pause = seconds(took) * rest * (0.5 + unit(mix(seed_ ^ ++draws_)));
+        origin_next_ = now_ + std::min(kEjectLongest, span_of(pause));
     }
     // The edge cache: the object's home, or the next in order that is up, not crowded and not too cold.
     // Exception (segmented classes): the part is hashed too, as one object in many parts, all asked for
@@ -587,16 +599,26 @@
     // limit. Exception (crowded parent): one that fills this gateway's share of its link is passed over; so a
     // parent left alone by its peers' loss is not asked for the work of all. With none, the cache is still
     // asked for what it holds.
+    // Nor does a fill that is away from home crowd a parent whose fills take long while the origin is
+    // quicker: it would be fetched from there all the same.
     Member* pick_source(Open& o, double work) {
+        Member* origin = pick_origin();
+        const double busy = std::max(kBusy, origin ? origin->pace : 0);
+        Member* crowded = nullptr;
+        bool home = true;
         if (!class_of(o).uncached)
             for (const auto& [score, m] :
-                 in_order(Role::parent, static_cast<std::uint64_t>(o.request.object)))
+                 in_order(Role::parent, static_cast<std::uint64_t>(o.request.object))) {
                 if (usable(*m) && !tried(o, *m) && open_to_use(*m) &&
-                    affords(*m, work, !o.request.referred) && likely_fills(m) < room(*m, kFull))
-                    return m;
-        Member* origin = pick_origin();
-        if (!origin || class_of(o).uncached || origin_fetches() < origin_room()) return origin;
-        return nullptr;
+                    affords(*m, work, !o.request.referred) && likely_fills(m) < room(*m, kFull)) {
+                    if (home || m->pace <= busy) return m;
+                    if (!crowded) crowded = m;
+                }
+                home = home && usable(*m) && !m->ejected;
+            }
+        if (!origin || class_of(o).uncached || (now_ >= origin_next_ && origin_fetches() < origin_room()))
+            return origin;
+        return crowded;
     }
     Member* pick_origin() {
         const auto& origins = listed(Role::origin);
@@ -825,6 +847,8 @@
     void judge(Open& o, Attempt& a, const Outcome& e) {
         Member* target = find(a.target);
         Member* source = a.source ? find(*a.source) : nullptr;
+        const Member* from = source ? source : target;
+        if (from && from->role == Role::origin && !class_of(o).uncached) pause_origin(e.took);
         if (target) --target->outstanding;
         if (source) --source->fills_out;
         a.hung = (e.ending == Ending::late || e.ending == Ending::cancelled) && is_hung(o, a);
@@ -837,6 +861,8 @@
         // Held against the ways, a request that hung or an answer that was spoilt or cut off, as any cache
         // may leave them, would close them all: they tell nothing of how much the ways bear.
         const bool spoilt = e.ending == Ending::reset || (e.ending == Ending::error && e.note == Note::none);
+        // Nor does a source that can't be reached: that is its own fault, and the next one will do.
+        const bool unreached = e.ending == Ending::full && e.note == Note::source_unreached;
         const bool failed =
             !good && !a.hung && !spoilt && e.ending != Ending::miss && e.ending != Ending::cancelled;
         const bool in_time = good && e.took <= aim_of(o);
@@ -850,7 +876,9 @@
         } else if (source && hit && a.charged_source) {
             source->budget += a.work;  // it never got there
         } else if (source && e.note == Note::source_unreached) {
-            hold_against(*source, others_alive_since(*source, a.sent));
+            // A refusal is proof by itself; silence is not, unless others answer.
+            hold_against(*source, unreached || others_alive_since(*source, a.sent),
+                         unreached ? kEjectAfter : kNoAnswer);
         }
         if (hit || filled) learn(miss_share_, filled ? 1 : 0);
         if (hit) learn_room(cache_trust_, in_time, kHitRegain);
@@ -927,6 +955,8 @@
     double cache_trust_ = 1;
     double retry_budget_ = kRetryBurst;
     double origin_trust_ = 1;
+    Time origin_next_{};
+    std::uint64_t draws_ = 0;
 };
 
 Router::Router(Settings settings, std::uint64_t seed)
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -47,5 +47,99 @@
                 EXPECT_EQ(g.serve(object, Note::filled)->fill->rank, Rank::unkept);
 }
 
+// With little traffic no other parent answers within the time that a refusal takes: it is proof by itself.
+TEST(ThinTraffic, ASourceThatRefusesIsPassedOverFromTheNextRequestOn) {
+    Gateway g;
+    const auto id = g.ask(9);
+    const auto dead = g.source();
+    g.end(id, Ending::full, Note::source_unreached);
+    EXPECT_NE(g.source(), dead);
+    g.end(id, Ending::good, Note::filled, 1);
+    for (std::uint64_t object = 1; object < 20; ++object) {
+        const auto next = g.serve(object, Note::filled);
+        EXPECT_NE(next->fill->source.address, dead);
+    }
+    g.pass(2s);
+    g.ask(9);
+    EXPECT_EQ(g.source(), dead);  // its trial
+}
+
+// A parent whose fills come late is not given those of one that is down while the origin is quicker.
+TEST(ThinTraffic, FillsOfALostParentDoNotCrowdTheNext) {
+    Gateway g;
+    std::vector<std::uint64_t> of_first;
+    std::string slow;
+    for (std::uint64_t object = 1; of_first.size() < 5; ++object) {
+        const auto id = g.ask(object);
+        if (slow.empty()) slow = g.source();
+        if (g.source() != slow) of_first.push_back(object);
+        g.tell(Outcome{.request = id,
+                       .ending = Ending::good,
+                       .took = g.source() == slow ? Span{1s} : Span{50ms},
+                       .over = true,
+                       .note = Note::filled});
+        g.pass(50ms);
+    }
+    Gateway calm;
+    for (auto* each : {&g, &calm}) each->change(slow == "p1" ? "p2" : "p1", Condition::draining);
+    for (const auto object : of_first) {
+        g.ask(object);
+        EXPECT_EQ(g.source(), "origin");
+        g.end(RequestId{g.ids}, Ending::good, Note::filled_by_origin);
+        calm.ask(object);
+        EXPECT_EQ(calm.source(), slow);
+        calm.end(RequestId{calm.ids}, Ending::good, Note::filled);
+    }
+}
+
+// All parents gone: what a hundred gateways fetch at the origin at any time is about the fleet's share of it,
+// not one for each; and the same seeds do the same again.
+TEST(ThinTraffic, AShareOfTheOriginUnderOneFetchIsAShareOfTime) {
+    auto settings = shared_settings(9, 100);
+    settings.weights = Weights::nominal;
+    const auto fleet = plain_fleet(1, 0);  // the link is taken as four answers wide: 0.75 x 11 of them in all
+    std::vector<double> means;
+    for (int again = 0; again < 2; ++again) {
+        auto all = zone_of(100, settings, fleet);
+        struct Out {
+            std::size_t gateway;
+            RequestId id;
+            Time ends;
+        };
+        std::vector<Out> out;
+        double sum = 0;
+        int looks = 0;
+        std::uint64_t object = 0;
+        for (int tick = 0; tick < 500; ++tick) {
+            for (std::size_t i = 0; i < all.size(); ++i) {
+                Gateway& g = all[i];
+                g.pass(10ms);
+                std::erase_if(out, [&](const Out& o) {
+                    if (o.gateway != i || o.ends > g.now) return false;
+                    g.tell(Outcome{.request = o.id,
+                                   .ending = Ending::good,
+                                   .took = 200ms,
+                                   .over = true,
+                                   .note = Note::filled_by_origin});
+                    return true;
+                });
+                if (tick % 10 != static_cast<int>(i % 10)) continue;
+                const auto id = g.ask(++object);
+                if (g.source() == "origin")
+                    out.push_back({i, id, g.now + 200ms});
+                else if (g.find<Send>())
+                    g.end(id, Ending::miss);
+            }
+            if (tick < 100) continue;  // the first fetch of each is free
+            sum += static_cast<double>(out.size());
+            ++looks;
+        }
+        means.push_back(sum / looks);
+    }
+    EXPECT_GT(means[0], 15);
+    EXPECT_LT(means[0], 45);
+    EXPECT_EQ(means[0], means[1]);
+}
+
 }  // namespace
 }  // namespace winchflow::testing
