Draw ends of ejections and tries at the bulletin from the seed, and test sums over a fleet

Need: waits that a hundred routers share must not end in step. Ejections end after three quarters to all of their span; the bulletin is tried again after up to 50 ms, then half to all of a span that doubles to 500 ms (net/backoff.h); the same seed draws the same.

Tests by the module's own events: a hundred lose a cache at once, nine are told of one new box (sum under what tips it), a lost home's objects spread over the others.

--- a/src/app/program.cpp
+++ b/src/app/program.cpp
@@ -105,7 +105,7 @@
                     else
                         log_.line("bad-event", "%.*s", static_cast<int>(data.size()), data.data());
                 },
-                log_);
+                log_, config_.seed);
             bulletin_->when_sure([this](bool surely) { engine_.told_of_purges(surely); });
             bulletin_->start();
         }
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -58,6 +58,7 @@
 constexpr int kNoAnswer = 2;
 constexpr Span kEjectFirst = 1s;
 constexpr Span kEjectLongest = 8s;
+constexpr double kEjectSpread = 0.25;
 // Retry budget: a fifth of the load is what a fleet at its usual fill can bear on top; the burst covers
 // the requests that one cache holds when it dies.
 constexpr double kRetryShare = 0.2;
@@ -400,7 +401,8 @@
         if (!may_eject || (m.ejected ? !trial_failed : m.failures < kEjectAfter)) return;
         m.ejected = true;
         m.ejected_for = std::clamp(m.ejected_for * 2, kEjectFirst, kEjectLongest);
-        m.ejected_until = now_ + m.ejected_for;
+        // Drawn: all who lost it lost it at once, and would else try it again at once.
+        m.ejected_until = now_ + span_of(seconds(m.ejected_for) * (1 - kEjectSpread * draw()));
     }
     void prove_alive(Member& m) {
         // A process that ended and is back before the list says so is cold all the same.
@@ -570,7 +572,7 @@
     void pause_origin(Span took) {
         const double rest = 1 / origin_share() - 1;
         if (rest <= 0) return;
-        const double pause = seconds(took) * rest * (0.5 + unit(mix(seed_ ^ ++draws_)));
+        const double pause = seconds(took) * rest * (0.5 + draw());
         origin_next_ = now_ + std::min(kEjectLongest, span_of(pause));
     }
     // The edge cache: the object's home, or the next in order that is up, not crowded and not too cold.
@@ -650,6 +652,7 @@
     bool likely_zones_first(ObjectId object) const {
         return unit(mix(seed_ ^ mix(static_cast<std::uint64_t>(object)))) * (set_.gateways_in_zone - 1) < 1;
     }
+    double draw() { return unit(mix(seed_ ^ mix(++draws_))); }
     void learn(double& mean, double sample) { mean += kLearn * (sample - mean); }
 
     void end_epoch_if_due() {
--- a/src/net/bulletin.cpp
+++ b/src/net/bulletin.cpp
@@ -34,8 +34,15 @@
     bool over = false;
 };
 
-Bulletin::Bulletin(asio::io_context& io, tcp::endpoint at, std::int64_t last, Take take, Log& log)
-    : io_(io), at_(std::move(at)), last_(last), take_(std::move(take)), log_(log), wait_(io) {}
+Bulletin::Bulletin(asio::io_context& io, tcp::endpoint at, std::int64_t last, Take take, Log& log,
+                   std::uint64_t seed)
+    : io_(io),
+      at_(std::move(at)),
+      last_(last),
+      take_(std::move(take)),
+      log_(log),
+      wait_(io),
+      pause_(kFirstPause, kLongestPause, seed) {}
 
 Bulletin::~Bulletin() {
     if (link_) link_->close();
@@ -48,7 +55,7 @@
     // Given up at once, half an event with it: the old address may stay open and tell nothing more.
     if (const auto old = std::exchange(link_, nullptr)) old->close();
     wait_.cancel();
-    pause_ = {};
+    pause_.reset();
     connect();
 }
 
@@ -81,7 +88,7 @@
                 if (e) return again(link, e.message().c_str());
                 if (link->parser.get().result() != http::status::ok) return again(link, "not 200");
                 log_.line("bulletin-up", "resuming after event %lld", static_cast<long long>(last_));
-                pause_ = {};
+                pause_.reset();
                 read(link);
             });
     });
@@ -121,8 +128,7 @@
     log_.line("bulletin-down", "%s; last event %lld", why, static_cast<long long>(last_));
     link->close();
     if (link_ == link) link_ = nullptr;
-    wait_.expires_after(pause_);
-    pause_ = std::clamp(pause_ * 2, kFirstPause, kLongestPause);
+    wait_.expires_after(pause_.next());
     wait_.async_wait([this](const error_code& error) {
         // Guards against two connections: a move may have made one after this wait was over.
         if (!error && !link_) connect();
--- a/src/net/bulletin.h
+++ b/src/net/bulletin.h
@@ -6,6 +6,7 @@
 
 #include "log/log.h"
 #include "net/asio.h"
+#include "net/backoff.h"
 #include "net/sse.h"
 
 namespace silverrail::net {
@@ -16,7 +17,8 @@
     // A comment comes each second: past this the connection is taken for dead.
     static constexpr std::chrono::milliseconds kSilence{1800};
 
-    Bulletin(asio::io_context& io, tcp::endpoint at, std::int64_t last, Take take, Log& log);
+    Bulletin(asio::io_context& io, tcp::endpoint at, std::int64_t last, Take take, Log& log,
+             std::uint64_t seed);
     ~Bulletin();
     // Told whenever it begins or ceases to be sure that all events come through.
     void when_sure(std::function<void(bool)> told) { told_sure_ = std::move(told); }
@@ -42,7 +44,7 @@
     Log& log_;
     asio::steady_timer wait_;
     std::shared_ptr<Link> link_;
-    std::chrono::milliseconds pause_{0};
+    Backoff pause_;
     std::function<void(bool)> told_sure_;
     bool sure_ = false;
 };
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -1,5 +1,8 @@
 // Many gateways before the same caches: what is harmless from one and harms from a hundred.
+#include <algorithm>
 #include <cmath>
+#include <map>
+#include <set>
 
 #include "gateway.h"
 
@@ -141,5 +144,86 @@
     EXPECT_EQ(means[0], means[1]);
 }
 
+// A hundred lose the same cache in the same instant: their trials of it come spread over time, the same each
+// run.
+TEST(InStep, EjectionsEndAtDifferentTimes) {
+    std::vector<std::vector<int>> runs;
+    for (int again = 0; again < 2; ++again) {
+        std::vector<int> back;  // in steps of 10 ms
+        for (auto& g : zone_of(100, shared_settings(100, 100))) {
+            std::string lost;
+            for (int i = 0; i < 2; ++i) {
+                g.ask(1);
+                if (lost.empty()) lost = g.target();
+                ASSERT_EQ(g.target(), lost);
+                g.end(RequestId{g.ids}, Ending::no_connection);
+                if (g.find<Send>()) g.end(RequestId{g.ids}, Ending::good, Note::hit, 1);
+            }
+            int step = 0;
+            for (; step < 200; ++step) {
+                g.ask(1);
+                if (g.target() == lost) break;
+                g.end(RequestId{g.ids}, Ending::good, Note::hit);
+                g.pass(10ms);
+            }
+            back.push_back(step);
+        }
+        const auto [first, last] = std::minmax_element(back.begin(), back.end());
+        EXPECT_GE(*first, 74);  // three quarters of a second at least, one second at most
+        EXPECT_LE(*last, 101);
+        EXPECT_GE(*last - *first, 15);
+        for (const int step : back) EXPECT_LT(std::count(back.begin(), back.end(), step), 20);
+        runs.push_back(back);
+    }
+    EXPECT_EQ(runs[0], runs[1]);
+}
+
+// Nine gateways told of one new box at once: what all send it in any window stays under what tips it.
+TEST(InStep, ANewBoxIsNotTippedByTheSumOfAll) {
+    auto settings = shared_settings(9, 100);
+    settings.weights = Weights::nominal;
+    settings.cold_from = 0.26;
+    settings.cold_for = 14s;
+    settings.tip_multiple = 2;
+    settings.tip_window = 3s;
+    auto zone = zone_of(9, settings);
+    for (auto& g : zone) g.restart("c1", g.now);
+    const double work = 0.05;  // seconds of sending, as the answers take
+    double sent = 0;
+    std::uint64_t object = 0;
+    for (int tick = 0; tick < 300; ++tick)  // 3 s
+        for (auto& g : zone) {
+            for (int i = 0; i < 2; ++i) {
+                g.ask(++object);
+                if (g.target() == "c1") sent += work;
+                g.end(RequestId{g.ids}, Ending::good, Note::hit);
+            }
+            g.pass(10ms);
+        }
+    EXPECT_GT(sent, 0);
+    EXPECT_LT(sent, 2 * 8 * 0.26 * 3);  // multiple x weight x share at the start x window
+}
+
+// A lost home's objects go to all the others, by each object's own order, and every gateway to the same.
+TEST(InStep, ALostHomesObjectsSpreadOverTheOthers) {
+    auto zone = zone_of(20, shared_settings(20, 100), plain_fleet(5));
+    std::map<std::string, int> taken;
+    for (std::uint64_t object = 1; object <= 400; ++object) {
+        std::set<std::string> before;
+        std::set<std::string> after;
+        for (auto& g : zone) {
+            g.change("c1", Condition::ready);
+            before.insert(g.serve(object)->target.address);
+            g.change("c1", Condition::draining);
+            after.insert(g.serve(object)->target.address);
+        }
+        ASSERT_EQ(before.size(), 1u);
+        ASSERT_EQ(after.size(), 1u);
+        if (*before.begin() == "c1") ++taken[*after.begin()];
+    }
+    EXPECT_EQ(taken.size(), 4u);
+    for (const auto& [cache, count] : taken) EXPECT_GE(count, 8) << cache;
+}
+
 }  // namespace
 }  // namespace winchflow::testing
--- a/tests/silverrail/parsers_test.cpp
+++ b/tests/silverrail/parsers_test.cpp
@@ -1,8 +1,11 @@
 // Tables of cases for the parsers, well-formed and not.
+#include <map>
+
 #include "check.h"
 #include "config/operator.h"
 #include "front/dns/zone.h"
 #include "front/platform/platform.h"
+#include "net/backoff.h"
 #include "net/sse.h"
 #include "net/upstream.h"
 
@@ -292,7 +295,38 @@
 
 }  // namespace
 
+namespace {
+
+// Growing, bounded, out of step with other seeds and the same for the same one.
+void backoff() {
+    using Ms = std::chrono::milliseconds;
+    std::map<std::int64_t, int> firsts;
+    for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+        net::Backoff a{Ms{50}, Ms{500}, seed};
+        net::Backoff again{Ms{50}, Ms{500}, seed};
+        Ms span{50};
+        for (int i = 0; i < 8; ++i) {
+            const Ms pause = a.next();
+            CHECK(pause == again.next());
+            if (i == 0) {
+                CHECK(pause <= Ms{50});
+                ++firsts[pause.count()];
+            } else {
+                CHECK(pause >= span / 2 && pause <= span);
+                span = std::min(span * 2, Ms{500});
+            }
+        }
+        a.reset();
+        CHECK(a.next() <= Ms{50});
+    }
+    CHECK(firsts.size() > 30);  // 200 routers over 51 ms, none at which many meet
+    for (const auto& [ms, count] : firsts) CHECK(count < 20);
+}
+
+}  // namespace
+
 int main() {
+    backoff();
     sse();
     bulletin();
     calls();
