--- a/tests/copies/copies_test.cpp
+++ b/tests/copies/copies_test.cpp
@@ -119,7 +119,8 @@
         CHECK(held && !held->body);
     }
     CHECK(other.answer(want(0, 1, "other"), kNow, kNowMs)->body);
-    CHECK(!Copies(kClasses, {.bytes = 1000}).answer(want(0), kNow, kNowMs));  // rates not told: off
+    CHECK(
+        !Copies(kClasses, {.bytes = 1000, .link = {}}).answer(want(0), kNow, kNowMs));  // rates not told: off
 }
 
 // Against a plain model: the same answers, within the bound, whatever comes.
