Tell a box with a full connection table from a dead one by what it still answers

Need: a box that refused twice and came back was taken for a new, cold process, also where its answers to what was out showed that it had never ended. prove_alive now takes it for restarted only if the attempt was sent after the first refusal.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -258,6 +258,7 @@
     Time ejected_until{};
     Span ejected_for{};
     bool went_down = false;  // refused connections: its process ended
+    Time down_at{};          // since when
     double pace = 0;         // running mean of time taken over the aim; 0: not known
     double budget = 0;       // cold budget, in seconds of sending
     Time budget_at{};
@@ -404,9 +405,11 @@
         // Drawn: all who lost it lost it at once, and would else try it again at once.
         m.ejected_until = now_ + span_of(seconds(m.ejected_for) * (1 - kEjectSpread * draw()));
     }
-    void prove_alive(Member& m) {
-        // A process that ended and is back before the list says so is cold all the same.
-        if (m.went_down && m.ejected) m.started = std::max(m.started.value_or(now_), now_);
+    void prove_alive(Member& m, Time sent = Time::max()) {
+        // A process that ended and is back before the list says so is cold all the same. One that answers
+        // what was out when it refused has not ended: its table was full.
+        if (m.went_down && m.ejected && sent >= m.down_at)
+            m.started = std::max(m.started.value_or(now_), now_);
         m.alive = now_;
         m.failures = 0;
         m.ejected = m.went_down = false;
@@ -907,10 +910,11 @@
     }
     void judge_target(Member& m, const Attempt& a, Ending ending) {
         if (ending == Ending::good || ending == Ending::miss || ending == Ending::full) {
-            prove_alive(m);
+            prove_alive(m, a.sent);
         } else if (ending == Ending::no_connection || ending == Ending::reset || ending == Ending::error) {
             hold_against(m, true, ending == Ending::no_connection ? kNoAnswer : 1);
-            m.went_down |= ending == Ending::no_connection;  // a lost answer resets one too
+            // A lost answer resets one too.
+            if (ending == Ending::no_connection && !std::exchange(m.went_down, true)) m.down_at = now_;
         } else if (ending == Ending::late && m.alive < a.sent) {
             hold_against(m, others_alive_since(m, a.sent));
         }
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -225,5 +225,43 @@
     for (const auto& [cache, count] : taken) EXPECT_GE(count, 8) << cache;
 }
 
+// A box that refuses connections but answers what is out has a full table; one that comes back later is cold.
+TEST(ThinTraffic, AFullTableIsNotADeadBox) {
+    auto settings = shared_settings(9, 100);
+    settings.weights = Weights::nominal;
+    settings.cold_from = 0.26;
+    settings.cold_for = 14s;
+    settings.tip_multiple = 2;
+    settings.tip_window = 3s;
+    int sent[2] = {};
+    for (const bool full : {false, true}) {
+        Gateway g{settings, plain_fleet(2)};
+        const auto open = g.ask(1);
+        const auto home = g.target();
+        g.pass(10ms);
+        for (int i = 0; i < 2; ++i) {
+            const auto id = g.ask(1);
+            ASSERT_EQ(g.target(), home);
+            g.end(id, Ending::no_connection);
+            if (g.find<Send>()) g.end(id, Ending::good, Note::hit, 1);
+        }
+        if (full) {
+            g.end(open, Ending::good, Note::hit);
+        } else {
+            g.end(open, Ending::reset);
+            if (g.find<Send>()) g.end(open, Ending::good, Note::hit, 1);
+            g.pass(3s);
+            EXPECT_EQ(g.serve(1)->target.address, home);  // the trial
+        }
+        for (int i = 0; i < 40; ++i) {
+            const auto id = g.ask(1);
+            sent[full] += g.target() == home;
+            g.end(id, Ending::good, Note::filled);
+        }
+    }
+    EXPECT_EQ(sent[true], 40);
+    EXPECT_LT(sent[false], 20);
+}
+
 }  // namespace
 }  // namespace winchflow::testing
