--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -294,7 +294,8 @@
                 return true;
             });
             if (tick % 10 != static_cast<int>(i)) continue;
-            const auto id = g.ask(++object, 0, 4s, GroupId{object % 32});
+            ++object;
+            const auto id = g.ask(object, 0, 4s, GroupId{object % 32});
             if (!g.find<Send>()) continue;
             EXPECT_GT(g.find<Send>()->fill->oldest, Span{});  // no copy from before the purge
             if (g.source()[0] == 'p')
