--- a/src/core/hold.cpp
+++ b/src/core/hold.cpp
@@ -12,32 +12,27 @@
     return copies::Wanted{{call.object_id, class_index, call.part}, call.group, call.group_known, call.have};
 }
 
-Answer Hold::answer_of(copies::Served served) {
-    ++(served.stale ? counters_.own_stale : counters_.own_fresh);
+std::optional<Answer> Hold::answer_of(std::optional<copies::Served> served) {
+    if (!served) return std::nullopt;
+    ++(served->stale ? counters_.own_stale : counters_.own_fresh);
     Answer a;
-    a.kind = served.body ? Answer::Kind::served : Answer::Kind::unchanged;
-    if (served.body) a.body = *served.body;
-    a.tag = std::move(served.tag);
-    a.made_ms = served.made_ms;
+    a.kind = served->body ? Answer::Kind::served : Answer::Kind::unchanged;
+    if (served->body) a.body = *served->body;
+    a.tag = std::move(served->tag);
+    a.made_ms = served->made_ms;
     return a;
 }
 
 std::optional<Answer> Hold::answer(const Call& call, std::size_t class_index, Time now,
                                    std::int64_t unix_ms) {
     const auto what = wanted(call, class_index);
-    if (!what) return std::nullopt;
-    auto served = copies_->answer(*what, now, unix_ms);
-    if (!served) return std::nullopt;
-    return answer_of(std::move(*served));
+    return what ? answer_of(copies_->answer(*what, now, unix_ms)) : std::nullopt;
 }
 
 std::optional<Answer> Hold::last_resort(const Call& call, std::size_t class_index, Time now,
                                         std::int64_t unix_ms) {
     const auto what = wanted(call, class_index);
-    if (!what) return std::nullopt;
-    auto served = copies_->last_resort(*what, now, unix_ms, call.deadline);
-    if (!served) return std::nullopt;
-    return answer_of(std::move(*served));
+    return what ? answer_of(copies_->last_resort(*what, now, unix_ms, call.deadline)) : std::nullopt;
 }
 
 void Hold::keep(const OpenCall& open, const AttemptEnd& end, std::int64_t unix_ms) {
--- a/src/core/hold.h
+++ b/src/core/hold.h
@@ -25,7 +25,7 @@
 private:
     // Absent: a call that no copy may answer.
     std::optional<copies::Wanted> wanted(const Call& call, std::size_t class_index) const;
-    Answer answer_of(copies::Served served);
+    std::optional<Answer> answer_of(std::optional<copies::Served> served);
 
     const winchflow::Settings& settings_;
     const Purges& purges_;
