--- a/include/winchflow/router.h
+++ b/include/winchflow/router.h
@@ -208,6 +208,9 @@
 
     [[nodiscard]] std::vector<Action> on(const Event& event, Time now);
 
+    // A listed cache that requests are kept away from now, or that gets trials only.
+    [[nodiscard]] bool avoids(const CacheId& id) const;
+
     // What the design's tracker stands at, for a gateway's own metrics and for tests.
     struct Sizes {
         std::size_t hot_capacity;      // C
--- /dev/null
+++ b/src/app/control_part.cpp
@@ -0,0 +1,23 @@
+#include "app/control_part.h"
+
+#include "app/endpoint.h"
+
+namespace silverrail::app {
+
+net::tcp::endpoint control_endpoint(const std::string& at) {
+    try {
+        return endpoint_of(at);
+    } catch (const std::exception& e) { throw config::ConfigError(std::string{"control: "} + e.what()); }
+}
+
+ControlPart::ControlPart(World world, const std::string& at) try
+    : admin_(world.engine, world.lifecycle, world.log),
+      server_(
+          world.io, control_endpoint(at), net::LineLimits{},
+          [this](std::string_view line, bool ended) { return admin_.answer(line, ended); }, world.log) {
+    server_.when_out_of_descriptors(std::move(world.shed));
+} catch (const boost::system::system_error& e) {
+    throw config::ConfigError("control: cannot listen at " + at + ": " + e.code().message());
+}
+
+}  // namespace silverrail::app
--- a/src/app/program.cpp
+++ b/src/app/program.cpp
@@ -7,6 +7,7 @@
 #include <memory>
 #include <vector>
 
+#include "app/control_part.h"
 #include "app/dns_part.h"
 #include "app/endpoint.h"
 #include "app/trace_part.h"
@@ -47,7 +48,8 @@
 
 net::UpstreamLimits upstream_limits(const config::Config& c, const config::OperatorSettings& settings) {
     net::UpstreamLimits limits;
-    const std::size_t clients = c.sockets / 3 + (settings.dns.on() ? net::DnsLimits{}.connections + 3 : 0);
+    const std::size_t clients = c.sockets / 3 + (settings.dns.on() ? net::DnsLimits{}.connections + 3 : 0) +
+                                (c.control.empty() ? 0 : ControlPart::kDescriptors);
     limits.sockets = c.sockets > clients + kReserved + 16 ? c.sockets - clients - kReserved : 16;
     if (c.connect_timeout > winchflow::Span{}) limits.connect_timeout = c.connect_timeout;
     // A connection that both sides may close at the same moment is not worth keeping.
@@ -88,6 +90,10 @@
                                                              config::json_line(config_.root)},
                                             settings_.trace));
         }
+        if (!config_.control.empty())
+            parts_.push_back(std::make_unique<ControlPart>(
+                ControlPart::World{io_, engine_, lifecycle_, log_, [this] { upstream_.shed(32); }},
+                config_.control));
         if (settings_.dns.on())
             parts_.push_back(std::make_unique<DnsPart>(
                 DnsPart::World{io_, engine_, clock_, timers_, log_, config_.seed}, settings_));
@@ -240,6 +246,7 @@
     Sources s;
     s.config = variable("EDGE_CONFIG");
     s.listen = variable("EDGE_LISTEN");
+    s.control = variable("EDGE_CONTROL");
     s.settings = variable("SILVERRAIL_SETTINGS");
     s.settings_named = !s.settings.empty();
     if (!s.settings_named) s.settings = "deploy/silverrail.json";
@@ -252,6 +259,7 @@
         hold_signals(SIG_BLOCK);
         auto config = config::load_config(sources.config);
         if (!sources.listen.empty()) config.listen = sources.listen;
+        if (!sources.control.empty()) config.control = sources.control;
         std::vector<std::string> problems;
         const auto settings = config::load_operator(sources.settings, sources.settings_named, problems);
         for (const std::string& problem : problems) Log{}.line("fatal", "%s", problem.c_str());
@@ -267,7 +275,10 @@
 int check(const Sources& sources) {
     std::vector<std::string> problems;
     if (!sources.config.empty()) try {
-            (void)endpoint_of(config::load_config(sources.config).listen);
+            const auto config = config::load_config(sources.config);
+            (void)endpoint_of(config.listen);
+            const auto& control = sources.control.empty() ? config.control : sources.control;
+            if (!control.empty()) (void)control_endpoint(control);
         } catch (const std::exception& e) { problems.push_back(sources.config + ": " + e.what()); }
     (void)config::load_operator(sources.settings, sources.settings_named, problems);
     for (const std::string& problem : problems) std::printf("%s\n", problem.c_str());
--- a/src/app/program.h
+++ b/src/app/program.h
@@ -5,10 +5,11 @@
 
 namespace silverrail::app {
 
-// Where settings come from: EDGE_CONFIG, EDGE_LISTEN, SILVERRAIL_SETTINGS.
+// Where settings come from: EDGE_CONFIG, EDGE_LISTEN, EDGE_CONTROL, SILVERRAIL_SETTINGS.
 struct Sources {
     std::string config;
     std::string listen;           // stands before the file's, where it is given
+    std::string control;          // the same
     std::string settings;         // the operator's file
     bool settings_named = false;  // by the variable: then it must exist
 };
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -289,6 +289,10 @@
         std::visit([this](const auto& e) { take(e); }, event);
         return std::exchange(out_, {});
     }
+    bool avoids(const CacheId& id) const {
+        const Member* m = find(id);
+        return m && usable(*m) && on_trial(*m);
+    }
     Sizes sizes() const {
         return {tracker_.hot_capacity(),
                 tracker_.tracker_capacity(),
@@ -384,9 +388,10 @@
         });
     }
     // Ejected and outpaced ones get one trial attempt at a time (half-open).
+    bool on_trial(const Member& m) const { return m.ejected || outpaced(m); }
     bool open_to_use(const Member& m) const {
         if (m.ejected && now_ < m.ejected_until) return false;
-        return m.outstanding + m.fills_out == 0 || (!m.ejected && !outpaced(m));
+        return m.outstanding + m.fills_out == 0 || !on_trial(m);
     }
     // Silence is held against one only if another answered meanwhile: when all are slow, none is to blame.
     // For a cache any other member will do, for a parent another parent.
@@ -972,6 +977,7 @@
 Router::Router(Router&&) noexcept = default;
 Router& Router::operator=(Router&&) noexcept = default;
 std::vector<Action> Router::on(const Event& event, Time now) { return brain_->on(event, now); }
+bool Router::avoids(const CacheId& id) const { return brain_->avoids(id); }
 Router::Sizes Router::sizes() const { return brain_->sizes(); }
 
 }  // namespace winchflow
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -200,6 +200,7 @@
     Config c;
     c.name = root.text_or("name", "");
     c.listen = root.text("listen");
+    c.control = root.text_or("control", "");
     c.bulletin = root.text_or("bulletin", "");
     const auto seed = parse_hex(root.text_or("seed", "1"));
     if (!seed) throw ConfigError("seed: expected up to 16 hex digits");
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -19,6 +19,7 @@
 struct Config {
     std::string name;
     std::string listen;    // address:port
+    std::string control;   // address:port; empty: no second address
     std::string bulletin;  // address:port
     std::uint64_t seed = 0;
     std::size_t sockets = 1024;
--- a/src/core/counters.cpp
+++ b/src/core/counters.cpp
@@ -28,6 +28,15 @@
     put("failed", failed);
     put("abandoned", abandoned);
     put("past_deadline", past_deadline);
+    put("backend_calls", backend_calls);
+    put("inflight", inflight);
+    put("hosts_listed", hosts_listed);
+    put("hosts_down", hosts_down);
+    for (const ByClass& c : classes) {
+        put(("success_" + c.name).c_str(), c.success);
+        put(("busy_" + c.name).c_str(), c.busy);
+        put(("failure_" + c.name).c_str(), c.failure);
+    }
     put("lists", lists);
     put("purges", purges);
     for (std::size_t i = 0; i < endings.size(); ++i)
--- a/src/core/counters.h
+++ b/src/core/counters.h
@@ -4,6 +4,7 @@
 #include <array>
 #include <cstdint>
 #include <string>
+#include <vector>
 
 #include "core/types.h"
 
@@ -31,6 +32,18 @@
     std::uint64_t purges = 0;
     std::uint64_t open = 0;
     std::array<std::uint64_t, 10> endings{};  // by winchflow::Ending
+    std::uint64_t backend_calls = 0;          // attempts written whole to a box
+    // Computed when asked.
+    std::uint64_t inflight = 0;      // of `open`, those without their answer
+    std::uint64_t hosts_listed = 0;  // boxes that the list names and has not given up
+    std::uint64_t hosts_down = 0;    // of those, the ones avoided now
+    struct ByClass {
+        std::string name;
+        std::uint64_t success = 0;
+        std::uint64_t busy = 0;
+        std::uint64_t failure = 0;
+    };
+    std::vector<ByClass> classes;  // in the order of the settings
 
     std::string text() const;  // one "name value" a line
 };
--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -1,5 +1,6 @@
 #include "core/engine.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace silverrail::core {
@@ -27,7 +28,9 @@
       route_(settings_, seed),
       send_(fleet_, purges_),
       relay_(counters_),
-      book_(counters_) {}
+      book_(counters_) {
+    for (const auto& c : settings_.classes) counters_.classes.push_back({.name = c.name});
+}
 
 bool Engine::knows_class(const std::string& name) const {
     Call call;
@@ -50,6 +53,10 @@
 
 const Counters& Engine::counters() {
     counters_.open = open_.size();
+    counters_.inflight = static_cast<std::uint64_t>(
+        std::count_if(open_.begin(), open_.end(), [](const auto& e) { return !e.second.answered(); }));
+    counters_.hosts_listed = fleet_.count_listed([](const Box&) { return true; });
+    counters_.hosts_down = fleet_.count_listed([&](const Box& box) { return route_.avoids(box.entry.id); });
     return counters_;
 }
 
@@ -94,6 +101,7 @@
 
 void Engine::turn_away(OpenCall& open, const Call& call, std::optional<std::size_t> class_index,
                        Answer answer) {
+    open.class_index = class_index.value_or(OpenCall::kNoClass);
     if (observer_) observer_->turned_away(call, class_index.value_or(settings_.classes.size()), clock_.now());
     relay_.answer(open, std::move(answer));
 }
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -47,6 +47,7 @@
 
 private:
     std::optional<Span> before_first_byte(const AttemptKey& key) override;
+    void written() override { ++counters_.backend_calls; }
     void ended(const AttemptKey& key, AttemptEnd end) override;
 
     void tell(winchflow::Event event);
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -34,6 +34,14 @@
             if (!box.barred && test(box)) return true;
         return false;
     }
+    // Of those that the list has not given up.
+    template <class Test>
+    std::size_t count_listed(Test test) const {
+        std::size_t count = 0;
+        for (const auto& [id, box] : boxes_)
+            if (box.entry.condition != winchflow::Condition::gone && test(box)) ++count;
+        return count;
+    }
     std::size_t size() const { return boxes_.size(); }
 
 private:
--- a/src/core/open_call.h
+++ b/src/core/open_call.h
@@ -16,9 +16,10 @@
 };
 
 struct OpenCall {
+    static constexpr std::size_t kNoClass = static_cast<std::size_t>(-1);
     RequestId id{};  // 0: turned away, never open
     std::shared_ptr<const Call> call;
-    std::size_t class_index = 0;
+    std::size_t class_index = kNoClass;
     Time taken{};
     std::shared_ptr<ReplySink> sink;  // absent once the final answer is given or the client has gone
     Timers::Handle guard = 0;         // the deadline
--- a/src/core/ports.h
+++ b/src/core/ports.h
@@ -35,6 +35,8 @@
     // Asked right before an attempt's first byte goes out, whatever it waited for until then: the oldest
     // copy that will do now, or nothing if it must not be sent any more.
     virtual std::optional<Span> before_first_byte(const AttemptKey& key) = 0;
+    // Its last byte is out, also where it has been given up meanwhile.
+    virtual void written() = 0;
     virtual void ended(const AttemptKey& key, AttemptEnd end) = 0;
 };
 
--- a/src/core/relay.cpp
+++ b/src/core/relay.cpp
@@ -8,18 +8,25 @@
 bool Relay::answer(OpenCall& open, Answer answer) {
     auto sink = std::exchange(open.sink, nullptr);
     if (!sink) return false;
-    switch (answer.kind) {
-        case Answer::Kind::served: ++counters_.served; break;
-        case Answer::Kind::unchanged: ++counters_.unchanged; break;
-        case Answer::Kind::referred: ++counters_.referred; break;
-        case Answer::Kind::refused: ++counters_.refused; break;
-        case Answer::Kind::failed: ++counters_.failed; break;
-    }
+    count(open.class_index, answer.kind);
     if (observer_) observer_->answered(open.id, answer, clock_->now());
     sink->reply(std::move(answer));
     return true;
 }
 
+// The one place where a call's end is counted, whichever front it came through.
+void Relay::count(std::size_t class_index, Answer::Kind kind) {
+    Counters::ByClass none;
+    auto& of_class = class_index < counters_.classes.size() ? counters_.classes[class_index] : none;
+    switch (kind) {
+        case Answer::Kind::served: ++counters_.served, ++of_class.success; break;
+        case Answer::Kind::unchanged: ++counters_.unchanged, ++of_class.success; break;
+        case Answer::Kind::referred: ++counters_.referred, ++of_class.success; break;
+        case Answer::Kind::refused: ++counters_.refused, ++of_class.busy; break;
+        case Answer::Kind::failed: ++counters_.failed, ++of_class.failure; break;
+    }
+}
+
 Answer Relay::served(AttemptEnd end) {
     Answer a;
     a.kind = end.unchanged ? Answer::Kind::unchanged : Answer::Kind::served;
--- a/src/core/relay.h
+++ b/src/core/relay.h
@@ -22,6 +22,7 @@
     static Answer referred(std::string address);
 
 private:
+    void count(std::size_t class_index, Answer::Kind kind);
     Counters& counters_;
     Observer* observer_ = nullptr;
     const Clock* clock_ = nullptr;
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -200,44 +200,13 @@
 
 HttpServer::HttpServer(asio::io_context& io, const tcp::endpoint& at, HttpLimits limits, Handler handler,
                        Log& log)
-    : io_(io), acceptor_(io), retry_(io), limits_(limits), handler_(std::move(handler)), log_(log) {
-    acceptor_.open(at.protocol());
-    acceptor_.set_option(tcp::acceptor::reuse_address(true));
-    acceptor_.bind(at);
-    acceptor_.listen(1024);
-    acceptor_.non_blocking(true);
-}
+    : listener_(io, at, log), limits_(limits), handler_(std::move(handler)), log_(log) {}
 
 HttpServer::~HttpServer() {
     for (auto& [session, weak] : std::exchange(sessions_, {}))
         if (const auto alive = weak.lock()) alive->close();
 }
 
-void HttpServer::accept() {
-    acceptor_.async_accept(
-        [this](const error_code& error, tcp::socket socket) { on_accept(error, std::move(socket)); });
-}
-
-void HttpServer::on_accept(const error_code& error, tcp::socket socket) {
-    if (stopping_ || error == asio::error::operation_aborted) return;
-    if (error == asio::error::no_descriptors || error == asio::error::no_buffer_space ||
-        error == asio::error::no_memory || error.value() == ENFILE) {
-        // Guards a busy loop: the connection stays in the backlog while some descriptors are freed.
-        log_.line("no-descriptors", "accept: %s", error.message().c_str());
-        if (shed_) shed_();
-        return pause();
-    }
-    if (!error) admit(std::move(socket));
-    accept();
-}
-
-void HttpServer::pause() {
-    retry_.expires_after(std::chrono::milliseconds{20});
-    retry_.async_wait([this](const error_code& e) {
-        if (!e && !stopping_) accept();
-    });
-}
-
 void HttpServer::admit(tcp::socket socket) {
     if (sessions_.size() >= limits_.connections && !make_room()) {
         log_.line("too-many-clients", "%zu connections", sessions_.size());
@@ -269,15 +238,7 @@
 
 void HttpServer::stop() {
     if (std::exchange(stopping_, true)) return;
-    // Connections that the machine has accepted for us are ours to answer.
-    error_code error;
-    while (true) {
-        tcp::socket socket{io_};
-        acceptor_.accept(socket, error);
-        if (error) break;
-        admit(std::move(socket));
-    }
-    acceptor_.close(error);
+    listener_.stop();
     auto sessions = sessions_;
     for (auto& [session, weak] : sessions)
         if (const auto alive = weak.lock()) alive->close_if_idle();
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -9,6 +9,7 @@
 #include "core/types.h"
 #include "log/log.h"
 #include "net/asio.h"
+#include "net/listener.h"
 
 namespace silverrail::net {
 
@@ -87,29 +88,27 @@
     // Listens at once; throws boost::system::system_error if it cannot.
     HttpServer(asio::io_context& io, const tcp::endpoint& at, HttpLimits limits, Handler handler, Log& log);
     ~HttpServer();
-    void start() { accept(); }
+    void start() {
+        listener_.start([this](tcp::socket socket) { admit(std::move(socket)); });
+    }
     // Takes what has come up to now, then nothing more; idle connections are closed, others after answering.
     void stop();
-    tcp::endpoint local() const { return acceptor_.local_endpoint(); }
+    tcp::endpoint local() const { return listener_.local(); }
     std::size_t connections() const { return sessions_.size(); }
     // Frees descriptors when the process runs out of them.
-    void when_out_of_descriptors(std::function<void()> action) { shed_ = std::move(action); }
+    void when_out_of_descriptors(std::function<void()> action) {
+        listener_.when_out_of_descriptors(std::move(action));
+    }
 
 private:
     friend class HttpSession;
-    void accept();
-    void on_accept(const error_code& error, tcp::socket socket);
     void admit(tcp::socket socket);
     bool make_room();
-    void pause();
 
-    asio::io_context& io_;
-    tcp::acceptor acceptor_;
-    asio::steady_timer retry_;
+    Listener listener_;
     HttpLimits limits_;
     Handler handler_;
     Log& log_;
-    std::function<void()> shed_;
     std::map<HttpSession*, std::weak_ptr<HttpSession>> sessions_;
     bool stopping_ = false;
 };
--- /dev/null
+++ b/src/net/listener.cpp
@@ -0,0 +1,61 @@
+#include "net/listener.h"
+
+namespace silverrail::net {
+
+namespace {
+constexpr int kBacklog = 4096;  // the system's own bound may be lower
+constexpr std::chrono::milliseconds kPause{20};
+}  // namespace
+
+Listener::Listener(asio::io_context& io, const tcp::endpoint& at, Log& log)
+    : io_(io), acceptor_(io), retry_(io), log_(log) {
+    acceptor_.open(at.protocol());
+    acceptor_.set_option(tcp::acceptor::reuse_address(true));
+    acceptor_.bind(at);
+    acceptor_.listen(kBacklog);
+    acceptor_.non_blocking(true);
+}
+
+void Listener::start(Take take) {
+    take_ = std::move(take);
+    accept();
+}
+
+void Listener::accept() {
+    acceptor_.async_accept(
+        [this](const error_code& error, tcp::socket socket) { on_accept(error, std::move(socket)); });
+}
+
+void Listener::on_accept(const error_code& error, tcp::socket socket) {
+    if (stopping_ || error == asio::error::operation_aborted) return;
+    if (error == asio::error::no_descriptors || error == asio::error::no_buffer_space ||
+        error == asio::error::no_memory || error.value() == ENFILE) {
+        // Guards a busy loop: the connection stays in the backlog while some descriptors are freed.
+        log_.line("no-descriptors", "accept: %s", error.message().c_str());
+        if (shed_) shed_();
+        return pause();
+    }
+    if (!error) take_(std::move(socket));
+    accept();
+}
+
+void Listener::pause() {
+    retry_.expires_after(kPause);
+    retry_.async_wait([this](const error_code& e) {
+        if (!e && !stopping_) accept();
+    });
+}
+
+void Listener::stop() {
+    if (std::exchange(stopping_, true)) return;
+    error_code error;
+    while (take_) {
+        tcp::socket socket{io_};
+        acceptor_.accept(socket, error);
+        if (error) break;
+        take_(std::move(socket));
+    }
+    acceptor_.close(error);
+}
+
+}  // namespace silverrail::net
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -240,6 +240,7 @@
     attempt->bytes_out = true;  // from here on it may run
     http::async_write(attempt->link->socket, attempt->request,
                       [attempt, link = attempt->link](const error_code& error, std::size_t) {
+                          if (!error) attempt->events->written();
                           if (attempt->over || !error) return;
                           // An answer may have come before the whole request was read; the read tells.
                           if (error == asio::error::operation_aborted) return;
--- /dev/null
+++ b/tests/silverrail/admin_test.cpp
@@ -0,0 +1,205 @@
+// The second address on real sockets: its words by table, callers that misbehave, and figures for each kind
+// of end.
+#include "front/admin/admin.h"
+
+#include "front/admin/words.h"
+#include "net/line_server.h"
+#include "stand.h"
+
+using namespace silverrail;
+using namespace silverrail::stand;
+namespace admin = silverrail::front::admin;
+
+namespace {
+
+const std::string kObject = "7f3a9c21e0b4d655";
+
+void words_by_table() {
+    using Kind = admin::Call::Kind;
+    struct Row {
+        std::string line;
+        bool ended;
+        std::optional<Kind> kind;  // absent: a no
+    };
+    const Row rows[] = {
+        {"HEALTH", true, Kind::health},
+        {"DUMP", true, Kind::dump},
+        {"HEALTH\r", true, Kind::health},
+        {"HEALTH", false, std::nullopt},   // half a call, then closed
+        {"", true, std::nullopt},          // an empty line
+        {"\r", true, std::nullopt},        // also an empty one
+        {"health", true, std::nullopt},    // words are as written
+        {" HEALTH", true, std::nullopt},   // nothing before them
+        {"HEALTH ", true, std::nullopt},   // nor behind
+        {"DUMP all", true, std::nullopt},  // an extra word
+        {"HEALTHY", true, std::nullopt},
+        {std::string{"HEALTH\0", 7}, true, std::nullopt},
+        {"HEALTH\rDUMP", true, std::nullopt},
+        {"HEALTH\xc3\xa4", true, std::nullopt},
+        {std::string(300, 'A'), false, std::nullopt},  // over the bound
+    };
+    for (const Row& row : rows) {
+        const auto call = admin::parse(row.line, row.ended);
+        const auto* good = std::get_if<admin::Call>(&call);
+        CHECK((good != nullptr) == row.kind.has_value());
+        if (good) CHECK(good->kind == *row.kind);
+        if (!good) CHECK(!std::get<std::string>(call).empty());
+    }
+    CHECK(admin::yes() == "ACK\n" && admin::no("why not") == "NAK why not\n");
+}
+
+struct Control {
+    Control(net::asio::io_context& io, Router& router, net::LineLimits limits = {})
+        : admin(router.engine, router.lifecycle, router.log),
+          server(
+              io, loopback(), limits,
+              [this](std::string_view line, bool ended) { return admin.answer(line, ended); }, router.log) {
+        server.start();
+    }
+    admin::Admin admin;
+    net::LineServer server;
+};
+
+void callers_that_misbehave() {
+    net::asio::io_context io;
+    Router router{io};
+    Control control{io, router, {.connections = 8, .line = 32}};
+    const auto at = control.server.local();
+    CHECK(call(io, at, "HEALTH") == "ACK takes clients\n");
+    // Silent ones and ones with half a call, far more than there are places: a new caller is served all the
+    // same, and no more are held than the bound.
+    std::vector<std::unique_ptr<Caller>> crowd;
+    for (int i = 0; i < 200; ++i) {
+        crowd.push_back(std::make_unique<Caller>(io, at, i % 2 == 0 ? "" : "HEA"));
+        if (i % 50 == 49) CHECK(call(io, at, "HEALTH").starts_with("ACK"));
+        CHECK(control.server.connections() <= 8);
+    }
+    // One of the last of them finishes its call, in pieces, and gets its answer.
+    crowd.back()->say("L");
+    crowd.back()->say("TH\n");
+    run_until(io, [&] { return crowd.back()->done; });
+    CHECK(crowd.back()->answer == "ACK takes clients\n" && crowd.back()->clean);
+    // A half-closed caller still gets its answer; half a line and an end gets a no, nothing at all a close.
+    for (const auto& [says, wants] : {std::pair{"HEALTH\n", "ACK"}, {"HEALTH", "NAK"}, {"", ""}}) {
+        Caller caller{io, at, says};
+        caller.half_close();
+        run_until(io, [&] { return caller.done; });
+        CHECK(caller.clean && caller.answer.starts_with(wants) && caller.answer.empty() == !*wants);
+    }
+    // A line over the bound, without end: a no, and nothing more is kept of it.
+    Caller endless{io, at, std::string(20'000, 'x')};
+    run_until(io, [&] { return endless.done; });
+    CHECK(endless.answer.starts_with("NAK"));
+    // A second line with the first: one answer.
+    CHECK(call(io, at, "HEALTH\nDUMP") == "ACK takes clients\n");
+    router.lifecycle.enter(Lifecycle::Phase::draining);
+    CHECK(call(io, at, "HEALTH") == "NAK draining\n");
+}
+
+std::uint64_t figure(const std::string& dump, const std::string& name) {
+    const auto at = dump.find("edge." + name + "=");
+    CHECK(at != std::string::npos && dump.ends_with("\n--\n"));
+    return std::stoull(dump.substr(at + 6 + name.size()));
+}
+
+void figures_of_each_end() {
+    net::asio::io_context io;
+    Box box{io};
+    Router router{io, {}, 2};
+    Control control{io, router};
+    const auto dump = [&] { return call(io, control.server.local(), "DUMP"); };
+    const auto is = [&](const std::string& name, std::uint64_t wanted) {
+        const std::string text = dump();
+        if (figure(text, name) != wanted) std::fprintf(stderr, "%s", text.c_str());
+        CHECK(figure(text, name) == wanted);
+    };
+    for (const char* name : {"success.pages", "busy.pages", "failure.lodge", "backend_calls", "inflight"})
+        is(name, 0);
+    Client client{io, router.server.local()};
+    const auto done = [&](Request request) {
+        client.send(std::move(request));
+        run_until(io, [&] { return client.done; });
+        CHECK(!client.broken);
+        return client.status();
+    };
+    // Refused by the module: there is no box yet.
+    CHECK(done(ask("pages", kObject)) == 503);
+    is("busy.pages", 1);
+    router.list_with_sources({listed("s-a", box.address()), listed("s-far", "127.0.0.1:9", "other")});
+    is("hosts_listed", 4);
+    is("hosts_down", 0);
+    // Served, then told that the client's copy holds.
+    CHECK(done(ask("pages", kObject)) == 200);
+    box.response = Box::hit("");
+    box.response.result(net::http::status::not_modified);
+    Request has = ask("pages", kObject);
+    has.set(net::http::field::if_none_match, "\"4be0c1927d55a6f3\"");
+    CHECK(done(has) == 304);
+    is("success.pages", 2);
+    is("backend_calls", 2);
+    // A copy of its own: served without a call to a box.
+    router.engine.keep_copies({.bytes = 1 << 20, .link = {1e9, 1e9}});
+    router.engine.told_of_purges(true);
+    box.response = Box::hit("bytes");
+    box.response.set("Made-At", std::to_string(router.clock.unix_ms()));
+    CHECK(done(ask("pages", kObject)) == 200 && done(ask("pages", kObject)) == 200);
+    is("success.pages", 4);
+    is("backend_calls", 3);
+    // Failed: cut off after it may have run, and never to be run twice.
+    box.act = Box::Act::reset_after_reading;
+    CHECK(done(ask("lodge", "00000000000000a1")) == 502);
+    is("failure.lodge", 1);
+    is("backend_calls", 4);
+    // Unfit: a read of a class that writes. An unknown class counts nowhere.
+    Request unfit = ask("lodge", kObject);
+    unfit.method(net::http::verb::get);
+    CHECK(done(unfit) == 502);
+    is("failure.lodge", 2);
+    Request unknown = ask("pages", kObject);
+    unknown.target("/ops/nothing/" + kObject + "/piece-0");
+    CHECK(done(unknown) == 502);
+    // Past its deadline: one that no other box may be asked for.
+    box.act = Box::Act::stay_silent;
+    CHECK(done(ask("lodge", "00000000000000a2", 300)) == 504);
+    is("failure.lodge", 3);
+    is("failure.pages", 0);
+    is("inflight", 0);
+    // Open ones are in flight; over the bound the door refuses, and who has left counts nowhere.
+    const std::size_t seen = box.seen.size();
+    Client one{io, router.server.local()};
+    Client two{io, router.server.local()};
+    one.send(ask("pages", "00000000000000b1", 9'000));
+    two.send(ask("lodge", "00000000000000b2", 9'000));
+    run_until(io, [&] { return box.seen.size() == seen + 2; });
+    is("inflight", 2);
+    CHECK(done(ask("pages", "00000000000000b3")) == 503);
+    is("busy.pages", 2);
+    one.leave();
+    two.leave();
+    run_until(io, [&] { return router.engine.open() == 0; });
+    is("inflight", 0);
+    const std::string last = dump();
+    CHECK(figure(last, "success.pages") == 4 && figure(last, "busy.pages") == 2);
+    CHECK(figure(last, "failure.lodge") == 3 && figure(last, "busy.lodge") == 0);
+    // The same numbers as the counters of the platform's front.
+    client.send(Request{net::http::verb::get, "/counters", 11});
+    run_until(io, [&] { return client.done; });
+    for (const std::string name : {"backend_calls", "inflight", "hosts_listed", "hosts_down"})
+        CHECK(client.response.body().find("\n" + name + " " + std::to_string(figure(last, name)) + "\n") !=
+              std::string::npos);
+    CHECK(client.response.body().find("\nsuccess_pages 4\n") != std::string::npos);
+    // A box that refuses connections is avoided, and shows.
+    box.stop_listening();
+    router.list({listed("s-a", "127.0.0.1:9")}, false);
+    for (int i = 0; i < 4; ++i) done(ask("pages", "00000000000000c" + std::to_string(i)));
+    is("hosts_down", 1);
+}
+
+}  // namespace
+
+int main() {
+    words_by_table();
+    callers_that_misbehave();
+    figures_of_each_end();
+    std::puts("admin: the second address answers everybody, and its figures are true");
+}
--- a/tests/silverrail/stand.h
+++ b/tests/silverrail/stand.h
@@ -155,6 +155,36 @@
     Request request_;
 };
 
+// One line at a second address, and all that comes back until the other side closes.
+class Caller {
+public:
+    Caller(net::asio::io_context& io, const tcp::endpoint& to, const std::string& says) : socket_(io) {
+        socket_.connect(to);
+        if (!says.empty()) net::asio::write(socket_, net::asio::buffer(says));
+        net::asio::async_read(socket_, net::asio::dynamic_buffer(answer),
+                              [this](const net::error_code& error, std::size_t) {
+                                  clean = error == net::asio::error::eof;
+                                  done = true;
+                              });
+    }
+    void say(const std::string& more) { net::asio::write(socket_, net::asio::buffer(more)); }
+    void half_close() { socket_.shutdown(tcp::socket::shutdown_send); }
+
+    std::string answer;
+    bool done = false;
+    bool clean = false;  // it ended, and was not reset
+
+private:
+    tcp::socket socket_;
+};
+
+inline std::string call(net::asio::io_context& io, const tcp::endpoint& to, const std::string& line) {
+    Caller caller{io, to, line + "\n"};
+    run_until(io, [&] { return caller.done; });
+    CHECK(caller.clean);
+    return caller.answer;
+}
+
 inline Request ask(const std::string& class_name, const std::string& object, int wait_ms = 5000) {
     Request r{class_name == "lodge" ? net::http::verb::put : net::http::verb::get,
               "/ops/" + class_name + "/" + object + "/piece-3", 11};
@@ -218,10 +248,10 @@
 // The router's parts as main.cpp wires them, in this process.
 class Router {
 public:
-    explicit Router(net::asio::io_context& io, net::HttpLimits limits = {})
+    explicit Router(net::asio::io_context& io, net::HttpLimits limits = {}, std::size_t most_open = 1000)
         : timers(io),
           upstream(io, net::UpstreamLimits{}, clock, log),
-          engine(settings(), 7, 1000, clock, timers, upstream, log),
+          engine(settings(), 7, most_open, clock, timers, upstream, log),
           platform(engine, clock, lifecycle, log),
           server(
               io, loopback(), limits,
