--- a/include/winchflow/router.h
+++ b/include/winchflow/router.h
@@ -208,6 +208,9 @@
 
     [[nodiscard]] std::vector<Action> on(const Event& event, Time now);
 
+    // From now on so many processes count as this one gateway, and each keeps to its part of every budget.
+    void share_with(int processes);
+
     // A listed cache that requests are kept away from now, or that gets trials only.
     [[nodiscard]] bool avoids(const CacheId& id) const;
 
--- a/src/app/control_part.h
+++ b/src/app/control_part.h
@@ -12,9 +12,6 @@
 
 class ControlPart : public Part {
 public:
-    // Descriptors that it may hold at most: its callers, its listener and one that is just being taken.
-    static constexpr std::size_t kDescriptors = net::LineLimits{}.connections + 2;
-
     struct World {
         net::asio::io_context& io;
         core::Engine& engine;
@@ -23,7 +20,7 @@
         std::function<void()> shed;  // frees descriptors
     };
     // Listens at once, as an address that is taken must stop the start; throws config::ConfigError.
-    ControlPart(World world, const std::string& at);
+    ControlPart(World world, const std::string& at, std::size_t most_callers);
     void start() override { server_.start(); }
     void stop() override {}  // who asks while it ends is told so
 
--- a/src/app/program.cpp
+++ b/src/app/program.cpp
@@ -10,11 +10,13 @@
 #include "app/control_part.h"
 #include "app/dns_part.h"
 #include "app/endpoint.h"
+#include "app/overlap.h"
 #include "app/trace_part.h"
 #include "config/operator.h"
 #include "core/engine.h"
 #include "front/platform/platform.h"
 #include "lifecycle.h"
+#include "members/shares.h"
 #include "net/bulletin.h"
 #include "net/clock.h"
 #include "net/http_server.h"
@@ -25,11 +27,6 @@
 
 using namespace std::chrono_literals;
 
-// Clients hold a third of the descriptors at most; some are kept for listeners, files and the bulletin.
-constexpr std::size_t kReserved = 48;
-// An eighth of the memory for copies of its own: the least that the platform gives has room for that beside
-// what answers under way may hold.
-constexpr std::size_t kCopiesShare = 8;
 // After SIGTERM new connections come for up to 0.4 s, and requests on open ones for 0.2 s more.
 constexpr auto kDrainFor = 700ms;
 
@@ -46,22 +43,45 @@
     ::pthread_sigmask(how, &set, nullptr);
 }
 
-net::UpstreamLimits upstream_limits(const config::Config& c, const config::OperatorSettings& settings) {
+members::Whole whole_of(const config::Config& c, const config::OperatorSettings& settings) {
+    return {.sockets = c.sockets,
+            .memory_bytes = c.memory_mb * 1024 * 1024,
+            .control = !c.control.empty(),
+            .others = settings.dns.on() ? net::DnsLimits{}.connections + 3 : 0};
+}
+
+net::UpstreamLimits upstream_limits(const config::Config& c, const members::Shares& shares) {
     net::UpstreamLimits limits;
-    const std::size_t clients = c.sockets / 3 + (settings.dns.on() ? net::DnsLimits{}.connections + 3 : 0) +
-                                (c.control.empty() ? 0 : ControlPart::kDescriptors);
-    limits.sockets = c.sockets > clients + kReserved + 16 ? c.sockets - clients - kReserved : 16;
+    limits.sockets = shares.boxes;
     if (c.connect_timeout > winchflow::Span{}) limits.connect_timeout = c.connect_timeout;
     // A connection that both sides may close at the same moment is not worth keeping.
     if (c.conn_idle > winchflow::Span{}) limits.idle = c.conn_idle * 2 / 3;
     return limits;
 }
 
-copies::Limits copy_limits(const config::Config& c) {
-    return {.bytes = c.memory_mb * 1024 * 1024 / kCopiesShare,
+net::HttpLimits server_limits(const config::Config& c, const members::Shares& shares) {
+    net::HttpLimits limits;
+    limits.connections = shares.clients;
+    // A new version takes over beside the old one where operators can ask it whether it serves.
+    if (!c.control.empty()) limits.port = net::Listener::Port::shared;
+    return limits;
+}
+
+copies::Limits copy_limits(const config::Config& c, const members::Shares& shares) {
+    return {.bytes = shares.copies_bytes,
             .link = {.flow_bytes_per_s = c.flow_bytes_per_s, .link_bytes_per_s = c.link_bytes_per_s}};
 }
 
+// A file that the processes of this router share; empty where no folder is given. Named after the clients'
+// address, which is what makes them one.
+std::string kept_file(const Sources& sources, const config::Config& c, const char* kind) {
+    if (sources.folder.empty()) return {};
+    std::string name = c.listen;
+    std::replace_if(
+        name.begin(), name.end(), [](unsigned char ch) { return std::isalnum(ch) == 0; }, '-');
+    return sources.folder + "/silverrail-" + name + "." + kind;
+}
+
 class Program {
 public:
     // What `sources` names is read anew on SIGHUP.
@@ -69,18 +89,22 @@
         : sources_(std::move(sources)),
           config_(std::move(config)),
           settings_(settings),
+          overlap_(io_, config_.control.empty() ? "" : kept_file(sources_, config_, "presence"), log_),
+          shares_(members::shares_of(whole_of(config_, settings_), overlap_.processes())),
           timers_(io_),
-          upstream_(io_, upstream_limits(config_, settings_), clock_, log_),
+          upstream_(io_, upstream_limits(config_, shares_), clock_, log_),
           engine_(config_.settings, config_.seed, config_.sockets, clock_, timers_, upstream_, log_),
           platform_(engine_, clock_, lifecycle_, log_),
           server_(
-              io_, endpoint_of(config_.listen), server_limits(),
+              io_, endpoint_of(config_.listen), server_limits(config_, shares_),
               [this](auto session, auto request) { platform_.handle(session, std::move(request)); }, log_),
           signals_(io_, SIGTERM, SIGINT, SIGUSR1),
           dump_(io_, SIGUSR2),
           hangup_(io_, SIGHUP),
           poll_(io_) {
-        engine_.keep_copies(copy_limits(config_));
+        engine_.keep_copies(copy_limits(config_, shares_));
+        if (const auto processes = overlap_.processes(); processes > 1) share_with(processes);
+        overlap_.follow([this](std::size_t processes) { share_with(processes); });
         lifecycle_.on_change([this](Lifecycle::Phase phase) { entered(phase); });
         platform_.also_count([this] { return part_counters(); });
         // What watches the core comes first: it has to see the first list.
@@ -93,7 +117,7 @@
         if (!config_.control.empty())
             parts_.push_back(std::make_unique<ControlPart>(
                 ControlPart::World{io_, engine_, lifecycle_, log_, [this] { upstream_.shed(32); }},
-                config_.control));
+                config_.control, shares_.callers));
         if (settings_.dns.on())
             parts_.push_back(std::make_unique<DnsPart>(
                 DnsPart::World{io_, engine_, clock_, timers_, log_, config_.seed}, settings_));
@@ -129,10 +153,12 @@
     }
 
 private:
-    net::HttpLimits server_limits() const {
-        net::HttpLimits limits;
-        limits.connections = config_.sockets / 3 + kReserved / 2;
-        return limits;
+    // During an upgrade the limits, and each budget of the module, are those of all its processes together.
+    void share_with(std::size_t processes) {
+        shares_ = members::shares_of(whole_of(config_, settings_), processes);
+        engine_.share_with(processes, shares_.copies_bytes);
+        upstream_.limit_sockets(shares_.boxes);
+        server_.limit_connections(shares_.clients);
     }
     void take(const Json::Value& item) {
         auto event = config::parse_event(item, clock_.now(), clock_.unix_ms());
@@ -185,6 +211,8 @@
         log_.line("phase", "%s, %zu open calls, %zu client connections",
                   std::string{Lifecycle::name(phase)}.c_str(), engine_.open(), server_.connections());
         if (phase == Lifecycle::Phase::draining) {
+            // Whoever comes from here on is the other process's: it listens at the same address.
+            if (overlap_.processes() > 1) server_.retire();
             poll_.expires_after(kDrainFor);
             poll_.async_wait([this](const net::error_code& error) {
                 if (!error) lifecycle_.enter(Lifecycle::Phase::finishing);
@@ -225,6 +253,8 @@
     const config::OperatorSettings settings_;
     Log log_;
     net::asio::io_context io_{1};
+    Overlap overlap_;
+    members::Shares shares_;
     net::SystemClock clock_;
     net::TimerQueue timers_;
     net::Upstream upstream_;
@@ -247,6 +277,7 @@
     s.config = variable("EDGE_CONFIG");
     s.listen = variable("EDGE_LISTEN");
     s.control = variable("EDGE_CONTROL");
+    s.folder = variable("TMPDIR");
     s.settings = variable("SILVERRAIL_SETTINGS");
     s.settings_named = !s.settings.empty();
     if (!s.settings_named) s.settings = "deploy/silverrail.json";
--- a/src/app/program.h
+++ b/src/app/program.h
@@ -11,6 +11,7 @@
     std::string listen;           // stands before the file's, where it is given
     std::string control;          // the same
     std::string settings;         // the operator's file
+    std::string folder;           // TMPDIR: files that the processes of one router share; empty: none
     bool settings_named = false;  // by the variable: then it must exist
 };
 Sources sources_of_environment();
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -289,6 +289,11 @@
         std::visit([this](const auto& e) { take(e); }, event);
         return std::exchange(out_, {});
     }
+    void share_with(int processes) {
+        set_.gateways = set_.gateways / processes_ * processes;
+        set_.gateways_in_zone = set_.gateways_in_zone / processes_ * processes;
+        processes_ = processes;
+    }
     bool avoids(const CacheId& id) const {
         const Member* m = find(id);
         return m && usable(*m) && on_trial(*m);
@@ -969,6 +974,7 @@
     double origin_trust_ = 1;
     Time origin_next_{};
     std::uint64_t draws_ = 0;
+    int processes_ = 1;  // that count as this gateway
 };
 
 Router::Router(Settings settings, std::uint64_t seed)
@@ -977,6 +983,7 @@
 Router::Router(Router&&) noexcept = default;
 Router& Router::operator=(Router&&) noexcept = default;
 std::vector<Action> Router::on(const Event& event, Time now) { return brain_->on(event, now); }
+void Router::share_with(int processes) { brain_->share_with(processes); }
 bool Router::avoids(const CacheId& id) const { return brain_->avoids(id); }
 Router::Sizes Router::sizes() const { return brain_->sizes(); }
 
--- a/src/copies/copies.h
+++ b/src/copies/copies.h
@@ -48,6 +48,9 @@
     // For a call that is given up: any copy that will do and is through by `deadline`.
     std::optional<Served> last_resort(const Wanted& call, Time now, std::int64_t unix_ms, Time deadline);
 
+    void limit(std::size_t bytes) {
+        if (on_) store_.limit(bytes);
+    }
     void purge_object(ObjectId object, std::int64_t issued_ms) { store_.purge_object(object, issued_ms); }
     void purge_group(GroupId group, std::int64_t issued_ms) { store_.purge_group(group, issued_ms); }
     std::size_t bytes() const { return store_.bytes(); }
--- a/src/copies/store.cpp
+++ b/src/copies/store.cpp
@@ -30,6 +30,15 @@
     bytes_ += cost(copy);
     groups_[copy.group].insert(key);
     entries_.emplace(key, Entry{std::move(copy), uses_.insert(uses_.end(), key)});
+    shrink();
+}
+
+void Store::limit(std::size_t most_bytes) {
+    most_ = most_bytes;
+    shrink();
+}
+
+void Store::shrink() {
     while (bytes_ > most_) erase(entries_.find(uses_.front()));
 }
 
--- a/src/copies/store.h
+++ b/src/copies/store.h
@@ -34,6 +34,7 @@
 class Store {
 public:
     explicit Store(std::size_t most_bytes) : most_(most_bytes) {}
+    void limit(std::size_t most_bytes);
     // An older copy than the one held changes nothing.
     void put(const Key& key, Copy copy);
     const Copy* find(const Key& key);  // a use
@@ -51,6 +52,7 @@
     using Entries = std::map<Key, Entry>;
     static std::size_t cost(const Copy& copy);
     Entries::iterator erase(Entries::iterator at);
+    void shrink();
 
     std::size_t most_;
     std::size_t bytes_ = 0;
--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -106,6 +106,11 @@
     relay_.answer(open, std::move(answer));
 }
 
+void Engine::share_with(std::size_t processes, std::size_t copies_bytes) {
+    route_.share_with(processes);
+    hold_.limit(copies_bytes);
+}
+
 void Engine::watch(Observer* observer) {
     observer_ = observer;
     relay_.watch(observer, &clock_);
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -25,6 +25,10 @@
     // Is it sure that every purge is heard of in time?
     void told_of_purges(bool surely) { hold_.told_of_purges(surely); }
 
+    // So many processes count as this one router from here on; copies of its own get so many bytes in this
+    // one.
+    void share_with(std::size_t processes, std::size_t copies_bytes);
+
     // Told of everything from here on; absent: nobody. It must outlive the engine or be taken away.
     void watch(Observer* observer);
 
--- a/src/core/hold.h
+++ b/src/core/hold.h
@@ -15,6 +15,9 @@
         : settings_(settings), purges_(purges), counters_(counters) {}
     void set(copies::Limits limits) { copies_.emplace(settings_.classes, limits); }
     void told_of_purges(bool surely);
+    void limit(std::size_t bytes) {
+        if (copies_) copies_->limit(bytes);
+    }
 
     std::optional<Answer> answer(const Call& call, std::size_t class_index, Time now, std::int64_t unix_ms);
     std::optional<Answer> last_resort(const Call& call, std::size_t class_index, Time now,
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -145,7 +145,7 @@
     if (state_ != State::open) return;
     state_ = State::writing;
     gone_ = nullptr;
-    response.keep_alive(keep_alive_ && !server_.stopping_);
+    response.keep_alive(keep_alive_ && !server_.retiring_);
     keep_alive_ = response.keep_alive();
     response.prepare_payload();
     response_.emplace(std::move(response));
@@ -200,7 +200,7 @@
 
 HttpServer::HttpServer(asio::io_context& io, const tcp::endpoint& at, HttpLimits limits, Handler handler,
                        Log& log)
-    : listener_(io, at, log), limits_(limits), handler_(std::move(handler)), log_(log) {}
+    : listener_(io, at, limits.port, log), limits_(limits), handler_(std::move(handler)), log_(log) {}
 
 HttpServer::~HttpServer() {
     for (auto& [session, weak] : std::exchange(sessions_, {}))
@@ -236,9 +236,19 @@
     return true;
 }
 
+void HttpServer::limit_connections(std::size_t most) {
+    limits_.connections = most;
+    while (sessions_.size() > most && make_room()) {}
+}
+
+void HttpServer::retire() {
+    retiring_ = true;
+    listener_.stop();
+}
+
 void HttpServer::stop() {
     if (std::exchange(stopping_, true)) return;
-    listener_.stop();
+    retire();
     auto sessions = sessions_;
     for (auto& [session, weak] : sessions)
         if (const auto alive = weak.lock()) alive->close_if_idle();
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -26,6 +26,7 @@
     std::chrono::milliseconds write{6'000};          // for an answer to be taken
     std::chrono::milliseconds linger{500};           // for reading on after a last answer
     std::size_t linger_bytes = 1 << 20;
+    Listener::Port port = Listener::Port::alone;
 };
 
 class HttpServer;
@@ -91,6 +92,11 @@
     void start() {
         listener_.start([this](tcp::socket socket) { admit(std::move(socket)); });
     }
+    // What may be open at once, from now on. Connections without a request are given up down to that.
+    void limit_connections(std::size_t most);
+    // No new connections but those that the machine has accepted for us; each open one ends with its next
+    // answer.
+    void retire();
     // Takes what has come up to now, then nothing more; idle connections are closed, others after answering.
     void stop();
     tcp::endpoint local() const { return listener_.local(); }
@@ -110,6 +116,7 @@
     Handler handler_;
     Log& log_;
     std::map<HttpSession*, std::weak_ptr<HttpSession>> sessions_;
+    bool retiring_ = false;
     bool stopping_ = false;
 };
 
--- a/src/net/line_server.cpp
+++ b/src/net/line_server.cpp
@@ -24,7 +24,7 @@
 
 LineServer::LineServer(asio::io_context& io, const tcp::endpoint& at, LineLimits limits, Handler handler,
                        Log& log)
-    : io_(io), listener_(io, at, log), limits_(limits), handler_(std::move(handler)) {}
+    : io_(io), listener_(io, at, Listener::Port::alone, log), limits_(limits), handler_(std::move(handler)) {}
 
 LineServer::~LineServer() {
     while (!callers_.empty()) close(std::shared_ptr{callers_.front()});
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -5,12 +5,14 @@
 namespace {
 constexpr int kBacklog = 4096;  // the system's own bound may be lower
 constexpr std::chrono::milliseconds kPause{20};
+using ReusePort = asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
 }  // namespace
 
-Listener::Listener(asio::io_context& io, const tcp::endpoint& at, Log& log)
+Listener::Listener(asio::io_context& io, const tcp::endpoint& at, Port port, Log& log)
     : io_(io), acceptor_(io), retry_(io), log_(log) {
     acceptor_.open(at.protocol());
     acceptor_.set_option(tcp::acceptor::reuse_address(true));
+    if (port == Port::shared) acceptor_.set_option(ReusePort(true));
     acceptor_.bind(at);
     acceptor_.listen(kBacklog);
     acceptor_.non_blocking(true);
--- a/src/net/listener.h
+++ b/src/net/listener.h
@@ -13,8 +13,10 @@
 public:
     using Take = std::function<void(tcp::socket)>;
 
+    // alone: another that listens there is an error. shared: processes of one router take turns.
+    enum class Port { alone, shared };
     // Listens at once; throws boost::system::system_error if it cannot.
-    Listener(asio::io_context& io, const tcp::endpoint& at, Log& log);
+    Listener(asio::io_context& io, const tcp::endpoint& at, Port port, Log& log);
     void start(Take take);
     void stop();
     tcp::endpoint local() const { return acceptor_.local_endpoint(); }
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -385,6 +385,12 @@
     return *open_ < limits_.sockets;
 }
 
+void Upstream::limit_sockets(std::size_t most) {
+    limits_.sockets = most;
+    if (*open_ > most) shed(*open_ - most);
+    serve_waiting();
+}
+
 void Upstream::shed(std::size_t count) {
     for (; count > 0; --count) {
         Box* longest = nullptr;
--- a/src/net/upstream.h
+++ b/src/net/upstream.h
@@ -37,6 +37,8 @@
     void start(core::Order order, core::AttemptEvents& events) override;
     void cancel(const core::AttemptKey& key) override;
     void forget(const core::CacheId& box) override;
+    // What may be open at once, from now on. Idle connections are closed down to that.
+    void limit_sockets(std::size_t most);
     // Closes up to `count` idle connections, longest idle first.
     void shed(std::size_t count);
     std::size_t sockets() const { return *open_; }
