--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -86,7 +86,7 @@
 public:
     using Handler = std::function<void(std::shared_ptr<HttpSession>, HttpRequest)>;
 
-    // Listens at once; throws boost::system::system_error if it cannot.
+    // Takes the address at once; throws boost::system::system_error if it cannot.
     HttpServer(asio::io_context& io, const tcp::endpoint& at, HttpLimits limits, Handler handler, Log& log);
     ~HttpServer();
     void start() {
--- a/src/net/line_server.h
+++ b/src/net/line_server.h
@@ -25,7 +25,7 @@
     // was reached.
     using Handler = std::function<std::string(std::string_view line, bool ended)>;
 
-    // Listens at once; throws boost::system::system_error if it cannot.
+    // Takes the address at once; throws boost::system::system_error if it cannot.
     LineServer(asio::io_context& io, const tcp::endpoint& at, LineLimits limits, Handler handler, Log& log);
     ~LineServer();
     void start();
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -1,5 +1,11 @@
 #include "net/listener.h"
 
+#include <linux/filter.h>
+#include <sys/socket.h>
+
+#include <cerrno>
+#include <cstring>
+
 namespace silverrail::net {
 
 namespace {
@@ -9,17 +15,30 @@
 }  // namespace
 
 Listener::Listener(asio::io_context& io, const tcp::endpoint& at, Port port, Log& log)
-    : io_(io), acceptor_(io), retry_(io), log_(log) {
+    : io_(io), acceptor_(io), retry_(io), port_(port), log_(log) {
     acceptor_.open(at.protocol());
     acceptor_.set_option(tcp::acceptor::reuse_address(true));
     if (port == Port::shared) acceptor_.set_option(ReusePort(true));
     acceptor_.bind(at);
-    acceptor_.listen(kBacklog);
-    acceptor_.non_blocking(true);
+}
+
+// Of two that share the port, all new connections go to the one that listens later, so that the queue of the
+// earlier one is empty long before it closes: what comes into a queue between the last accept and the close
+// is reset. Where the kernel refuses, it spreads connections over both.
+void Listener::lead_to_latest() {
+    sock_filter latest[] = {
+        BPF_STMT(BPF_RET | BPF_K, 1)};  // the second of two; alone, there is no such place
+    const sock_fprog program{1, latest};
+    if (::setsockopt(acceptor_.native_handle(), SOL_SOCKET, SO_ATTACH_REUSEPORT_CBPF, &program,
+                     sizeof program) != 0)
+        log_.line("shared-port", "connections are spread over all processes: %s", std::strerror(errno));
 }
 
 void Listener::start(Take take) {
     take_ = std::move(take);
+    acceptor_.listen(kBacklog);
+    acceptor_.non_blocking(true);
+    if (port_ == Port::shared) lead_to_latest();
     accept();
 }
 
--- a/src/net/listener.h
+++ b/src/net/listener.h
@@ -15,8 +15,9 @@
 
     // alone: another that listens there is an error. shared: processes of one router take turns.
     enum class Port { alone, shared };
-    // Listens at once; throws boost::system::system_error if it cannot.
+    // Takes the address at once; throws boost::system::system_error if it cannot.
     Listener(asio::io_context& io, const tcp::endpoint& at, Port port, Log& log);
+    // Listens from now on: nobody can connect before.
     void start(Take take);
     void stop();
     tcp::endpoint local() const { return acceptor_.local_endpoint(); }
@@ -24,6 +25,7 @@
     void when_out_of_descriptors(std::function<void()> action) { shed_ = std::move(action); }
 
 private:
+    void lead_to_latest();
     void accept();
     void on_accept(const error_code& error, tcp::socket socket);
     void pause();
@@ -31,6 +33,7 @@
     asio::io_context& io_;
     tcp::acceptor acceptor_;
     asio::steady_timer retry_;
+    Port port_;
     Log& log_;
     Take take_;
     std::function<void()> shed_;
--- /dev/null
+++ b/tests/silverrail/upgrade_test.cpp
@@ -0,0 +1,231 @@
+// Upgrades of the real program under load: a second process on the same address, the old one told to end or
+// killed, the new one killed. Every request is answered exactly once, and no write runs twice.
+#include <map>
+
+#include "members/shares.h"
+#include "program.h"
+#include "store/presence.h"
+
+using namespace silverrail;
+using namespace silverrail::stand;
+
+namespace {
+
+void shares_by_table() {
+    using members::Whole;
+    for (const std::size_t sockets : {128U, 192U, 256U, 384U, 512U, 1024U})
+        for (const bool control : {false, true}) {
+            const Whole whole{.sockets = sockets, .memory_bytes = 32U << 20, .control = control};
+            for (const std::size_t processes : {1U, 2U}) {
+                const auto s = members::shares_of(whole, processes);
+                const std::size_t each =
+                    members::kFixed + s.clients + s.boxes + (control ? s.callers + 1 : 0);
+                // The sum over both stays under the limit of the one router.
+                CHECK(each * processes <= sockets);
+                CHECK(s.clients >= 8 && s.boxes >= 8 && (s.callers > 0) == control);
+                CHECK(s.copies_bytes * processes <= whole.memory_bytes / 8);
+            }
+            // Alone, all that the platform's clients hold at most finds room, at the usual limits.
+            if (sockets >= 256) CHECK(members::shares_of(whole, 1).clients >= sockets / 3 + 24);
+        }
+}
+
+void presence_is_told_by_locks() {
+    const auto folder =
+        std::filesystem::temp_directory_path() / ("silverrail-locks-" + std::to_string(::getpid()));
+    std::filesystem::create_directory(folder);
+    const std::string file = folder / "presence";
+    {
+        store::Presence one{file};
+        CHECK(one.processes() == 1);
+        {
+            store::Presence two{file};
+            CHECK(one.processes() == 2 && two.processes() == 2);
+        }
+        CHECK(one.processes() == 1);
+        // One that dies of kill -9 leaves no lock behind.
+        int ready[2];
+        CHECK(::pipe(ready) == 0);
+        const pid_t pid = ::fork();
+        if (pid == 0) {
+            const store::Presence child{file};
+            char byte = 1;
+            if (::write(ready[1], &byte, 1) != 1) ::_exit(1);
+            while (true) ::pause();
+        }
+        char byte = 0;
+        CHECK(::read(ready[0], &byte, 1) == 1 && one.processes() == 2);
+        CHECK(::kill(pid, SIGKILL) == 0 && ::waitpid(pid, nullptr, 0) == pid);
+        CHECK(one.processes() == 1);
+    }
+    bool refused = false;
+    try {
+        store::Presence nowhere{folder / "no" / "such"};
+    } catch (const std::system_error& e) {
+        refused = std::string{e.what()}.find("no/such") != std::string::npos;
+    }
+    CHECK(refused);
+    std::filesystem::remove_all(folder);
+}
+
+// Clients that never stop: each asks, reads the answer, and asks again, on the same connection for as long as
+// it is kept, or each time on a new one.
+class Load {
+public:
+    Load(asio::io_context& io, tcp::endpoint to, int clients) : io_(io), to_(to) {
+        for (int i = 0; i < clients; ++i) next(std::make_shared<One>(io_, i % 3 == 0));
+    }
+    void stop() { stopping_ = true; }
+
+    std::size_t open = 0;
+    std::size_t answered = 0;
+    std::size_t refused_connections = 0;
+    std::size_t unanswered = 0;         // the connection ended under a request that was not its first
+    std::size_t turned_back = 0;        // and under its first one
+    std::map<std::string, int> lodged;  // answers 'served', by id
+
+private:
+    struct One {
+        One(asio::io_context& io, bool once) : socket(io), each_new(once) {}
+        tcp::socket socket;
+        net::beast::flat_buffer buffer;
+        Request request;
+        Response response;
+        bool each_new;
+        std::size_t asked = 0;  // on this connection
+    };
+    void next(const std::shared_ptr<One>& one) {
+        if (stopping_) return;
+        ++open;
+        if (one->socket.is_open()) return ask_on(one);
+        one->asked = 0;
+        one->buffer.clear();
+        one->socket.async_connect(to_, [this, one](const net::error_code& error) {
+            if (!error) return ask_on(one);
+            ++refused_connections;
+            over(one, false);
+        });
+    }
+    void ask_on(const std::shared_ptr<One>& one) {
+        const bool write = ++asked_ % 5 == 0;
+        char object[17];
+        std::snprintf(object, sizeof object, "%016zx", asked_ % 400);
+        one->request = stand::ask(write ? "lodge" : "pages", object, 3000);
+        one->request.prepare_payload();
+        one->response = {};
+        ++one->asked;
+        http::async_write(one->socket, one->request, [](const net::error_code&, std::size_t) {});
+        http::async_read(
+            one->socket, one->buffer, one->response, [this, one](const net::error_code& error, std::size_t) {
+                if (error) {
+                    ++(one->asked > 1 ? unanswered : turned_back);
+                    return over(one, false);
+                }
+                ++answered;
+                if (one->request.method() == http::verb::put && one->response.result_int() == 200)
+                    ++lodged[std::string{one->request["Trace-Id"]}];
+                over(one, one->response.keep_alive() && !one->each_new);
+            });
+    }
+    void over(const std::shared_ptr<One>& one, bool keep) {
+        --open;
+        net::error_code ignored;
+        if (!keep) one->socket.close(ignored);
+        asio::post(io_, [this, one] { next(one); });
+    }
+    asio::io_context& io_;
+    tcp::endpoint to_;
+    std::size_t asked_ = 0;
+    bool stopping_ = false;
+};
+
+bool says_yes(asio::io_context& io, const tcp::endpoint& control) {
+    asio::io_context own;
+    tcp::socket probe{own};
+    net::error_code error;
+    probe.connect(control, error);
+    if (error) return false;
+    probe.close();
+    return call(io, control, "HEALTH").starts_with("ACK");
+}
+
+bool has_ended(pid_t pid, bool killed) {
+    int status = 0;
+    if (::waitpid(pid, &status, WNOHANG) != pid) return false;
+    CHECK(killed ? WIFSIGNALED(status) : WIFEXITED(status) && WEXITSTATUS(status) == 0);
+    return true;
+}
+
+void upgrades_under_load() {
+    asio::io_context io;
+    Bulletin bulletin{io};
+    Box box{io};
+    tcp::endpoint control = free_endpoint();
+    Program program{bulletin.address(), box.address(), text_of(control)};
+    pid_t serving = program.pid();
+    run_until(io, [&] { return says_yes(io, control); });
+    Load load{io, program.at, 12};
+    const auto some_answers = [&] {
+        const std::size_t before = load.answered;
+        run_until(io, [&] { return load.answered > before + 60; });
+    };
+    some_answers();
+    for (int upgrade = 0; upgrade < 4; ++upgrade) {
+        const tcp::endpoint next_control = free_endpoint();
+        const pid_t next = program.start(text_of(next_control));
+        run_until(io, [&] { return says_yes(io, next_control); });
+        some_answers();
+        CHECK(says_yes(io, control));  // both serve
+        CHECK(::kill(serving, SIGTERM) == 0);
+        run_until(io, [&] { return has_ended(serving, false); });
+        some_answers();
+        serving = next;
+        control = next_control;
+    }
+    CHECK(load.turned_back == 0 && load.refused_connections == 0 && load.unanswered <= 2);
+
+    // The new one killed as soon as it serves: what was on its way there may be lost, the old one serves on.
+    const tcp::endpoint doomed_control = free_endpoint();
+    const pid_t doomed = program.start(text_of(doomed_control));
+    run_until(io, [&] { return says_yes(io, doomed_control); });
+    CHECK(::kill(doomed, SIGKILL) == 0);
+    run_until(io, [&] { return has_ended(doomed, true); });
+    some_answers();
+    const std::size_t lost = load.turned_back + load.unanswered + load.refused_connections;
+    CHECK(says_yes(io, control));
+    run_until(io, [&] { return program.logged("overlap 1 processes of this router, 2 before"); });
+
+    // The old one killed: the new one is whole.
+    const tcp::endpoint last_control = free_endpoint();
+    const pid_t last = program.start(text_of(last_control));
+    run_until(io, [&] { return says_yes(io, last_control); });
+    CHECK(::kill(serving, SIGKILL) == 0);
+    run_until(io, [&] { return has_ended(serving, true); });
+    some_answers();
+    CHECK(says_yes(io, last_control));
+    // That death cost no more than what the dead one held.
+    CHECK(load.turned_back + load.unanswered + load.refused_connections <= lost + 12);
+
+    load.stop();
+    run_until(io, [&] { return load.open == 0; });
+    // Every write that was answered 'served' ran exactly once, and none ran twice.
+    std::map<std::string, int> ran;
+    for (const auto& seen : box.seen)
+        if (seen.request.method() == http::verb::put) ++ran[std::string{seen.request["Call-Id"]}];
+    for (const auto& [id, times] : ran) CHECK(times == 1);
+    for (const auto& [id, times] : load.lodged) CHECK(times == 1 && ran[id] == 1);
+    CHECK(load.lodged.size() > 50);
+    std::printf("upgrades: %zu answers, %zu writes, %zu turned back, %zu under a later request\n",
+                load.answered, load.lodged.size(), load.turned_back, load.unanswered);
+    CHECK(::kill(last, SIGTERM) == 0);
+    run_until(io, [&] { return has_ended(last, false); });
+}
+
+}  // namespace
+
+int main() {
+    shares_by_table();
+    presence_is_told_by_locks();
+    upgrades_under_load();
+    std::puts("upgrade: the new process takes over and nothing is lost");
+}
