--- /dev/null
+++ b/src/app/bans_part.h
@@ -0,0 +1,35 @@
+// Boxes taken out by hand: in force in the core, kept in the file, and heard of from the router's other
+// processes.
+#pragma once
+
+#include <optional>
+
+#include "app/part.h"
+#include "core/engine.h"
+#include "front/admin/admin.h"
+#include "net/asio.h"
+#include "store/ban_file.h"
+
+namespace silverrail::app {
+
+class BansPart : public Part, public front::admin::Hands {
+public:
+    // `file` empty: kept in this process only. What the file holds is in force from here on.
+    BansPart(net::asio::io_context& io, core::Engine& engine, const std::string& file, Log& log);
+    void start() override;
+    void stop() override {}
+    front::admin::Verdict out(const core::CacheId& box) override;
+    front::admin::Verdict back(const core::CacheId& box) override;
+
+private:
+    void look();
+    void read();
+    void put(const members::Bans& bans) { engine_.set_bans(bans); }
+
+    core::Engine& engine_;
+    Log& log_;
+    net::asio::steady_timer timer_;
+    std::optional<store::BanFile> file_;
+};
+
+}  // namespace silverrail::app
--- a/src/app/control_part.h
+++ b/src/app/control_part.h
@@ -15,6 +15,7 @@
     struct World {
         net::asio::io_context& io;
         core::Engine& engine;
+        front::admin::Hands& hands;
         const Lifecycle& lifecycle;
         Log& log;
         std::function<void()> shed;  // frees descriptors
--- a/src/app/program.cpp
+++ b/src/app/program.cpp
@@ -7,6 +7,7 @@
 #include <memory>
 #include <vector>
 
+#include "app/bans_part.h"
 #include "app/control_part.h"
 #include "app/dns_part.h"
 #include "app/endpoint.h"
@@ -114,10 +115,15 @@
                                                              config::json_line(config_.root)},
                                             settings_.trace));
         }
-        if (!config_.control.empty())
+        if (!config_.control.empty()) {
+            // Before the first list: what is out is out from the first request on.
+            auto bans = std::make_unique<BansPart>(io_, engine_, kept_file(sources_, config_, "bans"), log_);
+            front::admin::Hands& hands = *bans;
+            parts_.push_back(std::move(bans));
             parts_.push_back(std::make_unique<ControlPart>(
-                ControlPart::World{io_, engine_, lifecycle_, log_, [this] { upstream_.shed(32); }},
+                ControlPart::World{io_, engine_, hands, lifecycle_, log_, [this] { upstream_.shed(32); }},
                 config_.control, shares_.callers));
+        }
         if (settings_.dns.on())
             parts_.push_back(std::make_unique<DnsPart>(
                 DnsPart::World{io_, engine_, clock_, timers_, log_, config_.seed}, settings_));
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -382,6 +382,10 @@
     }
     Member* find(const CacheId& id) { return const_cast<Member*>(std::as_const(*this).find(id)); }
     bool usable(const Member& m) const { return m.listed && m.ready; }
+    bool out_of_use(const CacheId& id) const {
+        const Member* m = find(id);
+        return !m || !usable(*m);
+    }
 
     // Slow against the quickest of its peers: then it gets one attempt at a time, as a trial. Where all are
     // slow - an origin in trouble, a crowded link - none is slow against the others.
@@ -936,8 +940,12 @@
         bool& known = a.held_only ? o.lacked : o.missed;
         a.found_none = e.ending == Ending::miss && (a.held_only || !a.source) && !std::exchange(known, true);
         if (a.held_only && a.found_none) o.missed = true;
-        const bool budgeted = e.ending == Ending::cancelled || a.found_none;
-        if (e.ending == Ending::not_sent || (!budgeted && !take_retry())) return give_up(o);
+        // One held back because its cache or source has gone out of use meanwhile never was at any.
+        const bool barred =
+            e.ending == Ending::not_sent && (out_of_use(a.target) || (a.source && out_of_use(*a.source)));
+        const bool budgeted = e.ending == Ending::cancelled || a.found_none || barred;
+        if (!barred && e.ending == Ending::not_sent) return give_up(o);
+        if (!budgeted && !take_retry()) return give_up(o);
         attempt(o);
     }
     void give_up(Open& o) {
--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -56,7 +56,8 @@
     counters_.inflight = static_cast<std::uint64_t>(
         std::count_if(open_.begin(), open_.end(), [](const auto& e) { return !e.second.answered(); }));
     counters_.hosts_listed = fleet_.count_listed([](const Box&) { return true; });
-    counters_.hosts_down = fleet_.count_listed([&](const Box& box) { return route_.avoids(box.entry.id); });
+    counters_.hosts_down = fleet_.count_listed(
+        [&](const Box& box) { return bans().contains(box.entry.id) || route_.avoids(box.entry.id); });
     return counters_;
 }
 
@@ -138,8 +139,37 @@
 void Engine::apply(const BoxChange& change) {
     ++counters_.lists;
     for (const CacheId& id : fleet_.apply(change, clock_.now())) sender_.forget(id);
+    tell_list(change);
+}
+
+bool Engine::lists(const CacheId& id) const {
+    const Box* box = fleet_.find(id);
+    return box && box->entry.condition != winchflow::Condition::gone;
+}
+
+void Engine::set_bans(const members::Bans& bans) {
+    const members::Bans before = fleet_.bans();
+    fleet_.set_bans(bans);
+    BoxChange change;
+    for (const CacheId& id : bans.ids()) {
+        const Box* box = before.contains(id) ? nullptr : fleet_.find(id);
+        if (!box) continue;
+        sender_.forget(id);
+        change.boxes.push_back(*box);
+    }
+    for (const CacheId& id : before.ids()) {
+        const Box* box = bans.contains(id) ? nullptr : fleet_.find(id);
+        if (!box) continue;
+        change.boxes.push_back(*box);
+        // Guards rule 4: out, it may have been restarted, whatever the list says of its start.
+        change.boxes.back().entry.up_since = clock_.now();
+    }
+    if (!change.boxes.empty()) tell_list(change);
+}
+
+void Engine::tell_list(const BoxChange& change) {
     winchflow::CacheList list{change.complete, {}};
-    for (const Box& box : change.boxes) list.caches.push_back(box.entry);
+    for (const Box& box : change.boxes) list.caches.push_back(fleet_.entry(box));
     origin_.change = &change;
     tell(std::move(list));
     origin_ = {};
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -40,6 +40,11 @@
     void apply(const BoxChange& change);
     void apply(const PurgeNotice& purge);
 
+    // Takes out by hand what `bans` names and was not out, and back what it names no more.
+    void set_bans(const members::Bans& bans);
+    const members::Bans& bans() const { return fleet_.bans(); }
+    bool lists(const CacheId& box) const;
+
     std::size_t open() const { return open_.size(); }
     bool knows_class(const std::string& name) const;
     // Never to run twice: nothing that repeats by itself may carry it.
@@ -54,6 +59,7 @@
     void written() override { ++counters_.backend_calls; }
     void ended(const AttemptKey& key, AttemptEnd end) override;
 
+    void tell_list(const BoxChange& change);
     void tell(winchflow::Event event);
     void observe(const winchflow::Event& event, const std::vector<winchflow::Action>& actions);
     void turn_away(OpenCall& open, const Call& call, std::optional<std::size_t> class_index, Answer answer);
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -36,6 +36,13 @@
     return dropped;
 }
 
+winchflow::ListedCache Fleet::entry(const Box& box) const {
+    winchflow::ListedCache entry = box.entry;
+    if (bans_.contains(entry.id) && entry.condition == winchflow::Condition::ready)
+        entry.condition = winchflow::Condition::draining;
+    return entry;
+}
+
 const Box* Fleet::find(const CacheId& id) const {
     auto at = boxes_.find(id);
     return at == boxes_.end() ? nullptr : &at->second;
@@ -43,7 +50,7 @@
 
 bool Fleet::may_be_named(const CacheId& id, Time now) const {
     const Box* box = find(id);
-    return box && (!box->barred || now < *box->barred + kBarredFor);
+    return box && !bans_.contains(id) && (!box->barred || now < *box->barred + kBarredFor);
 }
 
 }  // namespace silverrail::core
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "core/types.h"
+#include "members/bans.h"
 
 namespace silverrail::core {
 
@@ -25,6 +26,11 @@
 public:
     // The ids of the boxes whose open connections are void: gone, restarted or moved.
     std::vector<CacheId> apply(const BoxChange& change, Time now);
+    // Out by hand, whatever the list says of them, also of ids that it does not name.
+    void set_bans(members::Bans bans) { bans_ = std::move(bans); }
+    const members::Bans& bans() const { return bans_; }
+    // As the module is to see it: one that is out gets nothing new.
+    winchflow::ListedCache entry(const Box& box) const;
     const Box* find(const CacheId& id) const;
     // A new send that names the box, as target or as source, is still in time at `now`.
     bool may_be_named(const CacheId& id, Time now) const;
@@ -50,6 +56,7 @@
     static constexpr Span kBarredFor = std::chrono::milliseconds{1500};
     static constexpr std::size_t kGoneKept = 256;
     std::map<CacheId, Box> boxes_;
+    members::Bans bans_;
 };
 
 }  // namespace silverrail::core
--- a/src/front/admin/admin.cpp
+++ b/src/front/admin/admin.cpp
@@ -10,10 +10,14 @@
         log_.line("bad-control-call", "%s", why->c_str());
         return no(*why);
     }
+    const auto said = [](const Verdict& v) { return v.yes ? yes(v.words) : no(v.words); };
+    const core::CacheId box{std::get<Call>(call).box};
     switch (std::get<Call>(call).kind) {
         case Call::Kind::health:
             return lifecycle_.ready() ? yes("takes clients") : no(Lifecycle::name(lifecycle_.phase()));
         case Call::Kind::dump: return figures(engine_.counters());
+        case Call::Kind::offline: return said(hands_.out(box));
+        case Call::Kind::online: return said(hands_.back(box));
     }
     return no("unknown call");
 }
--- a/src/front/admin/admin.h
+++ b/src/front/admin/admin.h
@@ -6,14 +6,28 @@
 
 namespace silverrail::front::admin {
 
+struct Verdict {
+    bool yes = false;
+    std::string words;
+};
+
+// Whoever takes boxes out and back.
+class Hands {
+public:
+    virtual ~Hands() = default;
+    virtual Verdict out(const core::CacheId& box) = 0;
+    virtual Verdict back(const core::CacheId& box) = 0;
+};
+
 class Admin {
 public:
-    Admin(core::Engine& engine, const Lifecycle& lifecycle, Log& log)
-        : engine_(engine), lifecycle_(lifecycle), log_(log) {}
+    Admin(core::Engine& engine, Hands& hands, const Lifecycle& lifecycle, Log& log)
+        : engine_(engine), hands_(hands), lifecycle_(lifecycle), log_(log) {}
     std::string answer(std::string_view line, bool ended);
 
 private:
     core::Engine& engine_;
+    Hands& hands_;
     const Lifecycle& lifecycle_;
     Log& log_;
 };
--- a/src/front/admin/words.cpp
+++ b/src/front/admin/words.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "members/bans.h"
+
 namespace silverrail::front::admin {
 
 namespace {
@@ -26,7 +28,12 @@
         if (!alone) return std::string{word} + " takes nothing behind it";
         return Call{word == "HEALTH" ? Call::Kind::health : Call::Kind::dump};
     }
-    return "unknown call; there are HEALTH and DUMP";
+    if (word == "OFFLINE" || word == "ONLINE") {
+        const std::string_view box = alone ? std::string_view{} : line.substr(word.size() + 1);
+        if (!members::Bans::fits(box)) return std::string{word} + " takes the id of one box behind it";
+        return Call{word == "OFFLINE" ? Call::Kind::offline : Call::Kind::online, std::string{box}};
+    }
+    return "unknown call; there are HEALTH, DUMP, OFFLINE and ONLINE";
 }
 
 std::string yes(std::string_view words) { return line_of("ACK", words); }
--- a/src/front/admin/words.h
+++ b/src/front/admin/words.h
@@ -10,8 +10,9 @@
 namespace silverrail::front::admin {
 
 struct Call {
-    enum class Kind { health, dump };
+    enum class Kind { health, dump, offline, online };
     Kind kind = Kind::health;
+    std::string box{};  // offline, online: its id
     bool operator==(const Call&) const = default;
 };
 
--- a/tests/silverrail/admin_test.cpp
+++ b/tests/silverrail/admin_test.cpp
@@ -20,6 +20,7 @@
         std::string line;
         bool ended;
         std::optional<Kind> kind;  // absent: a no
+        std::string box{};
     };
     const Row rows[] = {
         {"HEALTH", true, Kind::health},
@@ -33,6 +34,15 @@
         {"HEALTH ", true, std::nullopt},   // nor behind
         {"DUMP all", true, std::nullopt},  // an extra word
         {"HEALTHY", true, std::nullopt},
+        {"OFFLINE s-00c41f7a", true, Kind::offline, "s-00c41f7a"},
+        {"ONLINE s-00c41f7a\r", true, Kind::online, "s-00c41f7a"},
+        {"OFFLINE", true, std::nullopt},  // which one?
+        {"OFFLINE ", true, std::nullopt},
+        {"OFFLINE s-1 s-2", true, std::nullopt},  // one at a time
+        {"OFFLINE  s-1", true, std::nullopt},
+        {"ONLINE s\t1", true, std::nullopt},
+        {"OFFLINE " + std::string(129, 'x'), true, std::nullopt},
+        {"OFFLINES-1", true, std::nullopt},
         {std::string{"HEALTH\0", 7}, true, std::nullopt},
         {"HEALTH\rDUMP", true, std::nullopt},
         {"HEALTH\xc3\xa4", true, std::nullopt},
@@ -42,20 +52,26 @@
         const auto call = admin::parse(row.line, row.ended);
         const auto* good = std::get_if<admin::Call>(&call);
         CHECK((good != nullptr) == row.kind.has_value());
-        if (good) CHECK(good->kind == *row.kind);
+        if (good) CHECK(good->kind == *row.kind && good->box == row.box);
         if (!good) CHECK(!std::get<std::string>(call).empty());
     }
     CHECK(admin::yes() == "ACK\n" && admin::no("why not") == "NAK why not\n");
 }
 
+struct NoHands : admin::Hands {
+    admin::Verdict out(const core::CacheId& box) override { return {true, "out " + box.address}; }
+    admin::Verdict back(const core::CacheId&) override { return {false, "no such box"}; }
+};
+
 struct Control {
     Control(net::asio::io_context& io, Router& router, net::LineLimits limits = {})
-        : admin(router.engine, router.lifecycle, router.log),
+        : admin(router.engine, hands, router.lifecycle, router.log),
           server(
               io, loopback(), limits,
               [this](std::string_view line, bool ended) { return admin.answer(line, ended); }, router.log) {
         server.start();
     }
+    NoHands hands;
     admin::Admin admin;
     net::LineServer server;
 };
@@ -92,6 +108,8 @@
     CHECK(endless.answer.starts_with("NAK"));
     // A second line with the first: one answer.
     CHECK(call(io, at, "HEALTH\nDUMP") == "ACK takes clients\n");
+    CHECK(call(io, at, "OFFLINE s-1") == "ACK out s-1\n" &&
+          call(io, at, "ONLINE s-1") == "NAK no such box\n");
     router.lifecycle.enter(Lifecycle::Phase::draining);
     CHECK(call(io, at, "HEALTH") == "NAK draining\n");
 }
--- a/tests/silverrail/core_test.cpp
+++ b/tests/silverrail/core_test.cpp
@@ -347,6 +347,72 @@
     CHECK(after->count == 0 && b.sender.out.size() == 1);
 }
 
+// Out by hand: nothing new from the next byte on, whatever the list says, until it is called back.
+void out_by_hand() {
+    Bench b;
+    const auto bans = [](std::initializer_list<const char*> ids) {
+        members::Bans of;
+        for (const char* id : ids) CHECK(of.add(CacheId{id}));
+        return of;
+    };
+    const auto back_to_good = [&](const std::shared_ptr<Reply>& reply) {
+        CHECK(b.sender.out.size() == 1);
+        b.sender.end(0, {.ending = Ending::good, .note = Note::hit, .body = "bytes"});
+        CHECK(reply->count == 1 && reply->answer.kind == Answer::Kind::served);
+    };
+    const auto first = b.ask();
+    const CacheId home = b.sender.out.at(0).target;
+    const char* other = home.address == "s-a" ? "s-b" : "s-a";
+    // Between decision and first byte: turned back, a write too, and sent to the other box instead.
+    const auto write = b.ask("lodge");
+    CHECK(b.sender.out.size() == 2 && b.sender.out[1].target == home);
+    b.engine.set_bans(bans({home.address.c_str()}));
+    CHECK(b.sender.forgotten == std::vector{home.address});
+    for (int i = 0; i < 2; ++i) {
+        CHECK(!b.sender.events->before_first_byte(b.sender.out.at(0).key));
+        b.sender.end(0, {.ending = Ending::not_sent});
+        CHECK(b.sender.out.back().target.address == other);
+        CHECK(b.sender.events->before_first_byte(b.sender.out.back().key));
+    }
+    while (!b.sender.out.empty()) b.sender.end(0, {.ending = Ending::good, .note = Note::hit, .body = "b"});
+    CHECK(first->answer.kind == Answer::Kind::served && write->answer.kind == Answer::Kind::served);
+    CHECK(b.engine.counters().hosts_down == 1 && b.engine.counters().hosts_listed == 4);
+    // The list drops it, lists it again, and lists it as just started: it stays out.
+    using winchflow::Condition;
+    b.change({stand::listed(home.address, "127.0.0.1:1", "small-box", Condition::gone)});
+    b.change({stand::listed(home.address, "127.0.0.1:1")});
+    auto started = stand::listed(home.address, "127.0.0.1:1");
+    started.entry.up_since = b.clock.now();
+    b.change({started});
+    auto asked = b.ask();
+    CHECK(b.sender.out.at(0).target.address == other);
+    back_to_good(asked);
+    // Back: its home again within half a second, and cold: with its share of the budget spent, the other one
+    // takes over.
+    b.clock.passed += 1s;
+    b.engine.set_bans(bans({}));
+    CHECK(b.engine.counters().hosts_down == 0);
+    b.clock.passed += 500ms;
+    asked = b.ask();
+    CHECK(b.sender.out.at(0).target == home);
+    back_to_good(asked);
+    std::size_t at_home = 0;
+    for (int i = 0; i < 19; ++i) b.ask();
+    for (const Order& order : b.sender.out) at_home += order.target == home ? 1 : 0;
+    CHECK(at_home > 0 && at_home < 19);
+    while (!b.sender.out.empty()) b.sender.end(0, {.ending = Ending::cancelled});
+    // As a source: a fill that names it is turned back and finds another source.
+    b.clock.passed += 30s;
+    asked = b.ask();
+    CHECK(b.sender.out.size() == 1 && b.sender.out[0].source == CacheId{"s-parent"});
+    b.engine.set_bans(bans({"s-parent"}));
+    CHECK(!b.sender.events->before_first_byte(b.sender.out[0].key));
+    b.sender.end(0, {.ending = Ending::not_sent});
+    CHECK(b.sender.out.size() == 1 && b.sender.out[0].source != CacheId{"s-parent"});
+    back_to_good(asked);
+    CHECK(b.engine.open() == 0);
+}
+
 }  // namespace
 
 int main() {
@@ -358,5 +424,6 @@
     phases();
     settings_from_both_wires();
     own_copies();
+    out_by_hand();
     std::puts("core: every case holds");
 }
--- a/tests/silverrail/upgrade_test.cpp
+++ b/tests/silverrail/upgrade_test.cpp
@@ -149,6 +149,85 @@
     return call(io, control, "HEALTH").starts_with("ACK");
 }
 
+void bans_as_text() {
+    using members::Bans;
+    Bans bans;
+    for (const char* id : {"s-1", "s-2"})
+        CHECK(bans.add(winchflow::CacheId{id}) && bans.add(winchflow::CacheId{id}));
+    const std::string text = bans.text();
+    CHECK(Bans::read(text).bans == bans && Bans::read(Bans{}.text()).bans == Bans{});
+    CHECK(Bans::read(text).trouble == Bans::Trouble::none);
+    // Cut at any byte, or with any byte put out of place, it is not taken for another set of bans.
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        CHECK(Bans::read(text.substr(0, i)).trouble != Bans::Trouble::none);
+        std::string other = text;
+        other[i] = '\n';
+        CHECK(other == text || Bans::read(other).trouble != Bans::Trouble::none);
+    }
+    CHECK(Bans::read("silverrail-bans 2\nout s-1\nend 1\n").trouble == Bans::Trouble::other_version);
+    CHECK(Bans::read(text + "out s-3\n").trouble == Bans::Trouble::damaged);
+    for (const char* id : {"", "a b", "a\n", "\x80"}) CHECK(!bans.add(winchflow::CacheId{id}));
+    for (std::size_t i = 0; i < 2 * Bans::kMost; ++i) bans.add(winchflow::CacheId{"x-" + std::to_string(i)});
+    CHECK(bans.ids().size() == Bans::kMost);
+}
+
+// A box is taken out at either process of an upgrade, and both heed it; what the file can't keep is said.
+void bans_over_an_upgrade() {
+    asio::io_context io;
+    Bulletin bulletin{io};
+    Box box{io};
+    const tcp::endpoint first = free_endpoint();
+    Program program{bulletin.address(), box.address(), text_of(first)};
+    run_until(io, [&] { return says_yes(io, first); });
+    const auto down = [&](const tcp::endpoint& at) {
+        const std::string dump = call(io, at, "DUMP");
+        return dump.substr(dump.find("hosts_down=") + 11, 2);
+    };
+    CHECK(call(io, first, "OFFLINE s-nobody").starts_with("NAK no such box"));
+    CHECK(call(io, first, "ONLINE s-nobody").starts_with("NAK"));
+    CHECK(call(io, first, "OFFLINE s-a") == "ACK out\n" && call(io, first, "OFFLINE s-a") == "ACK out\n");
+    Client client{io, program.at};
+    client.send(ask("pages", "00000000000000aa"));
+    run_until(io, [&] { return client.done; });
+    CHECK(client.status() == 503 && box.seen.empty() && down(first) == "1\n");
+    // The new process has it out from its start, and its call back reaches the old one.
+    const tcp::endpoint second = free_endpoint();
+    const pid_t next = program.start(text_of(second));
+    run_until(io, [&] { return says_yes(io, second); });
+    CHECK(down(second) == "1\n" && call(io, second, "ONLINE s-a") == "ACK in use\n");
+    run_until(io, [&] { return down(first) == "0\n"; });
+    // And the other way round: out at the old one, heeded by the new.
+    CHECK(call(io, first, "OFFLINE s-p") == "ACK out\n");
+    run_until(io, [&] { return down(second) == "1\n"; });
+    CHECK(call(io, second, "ONLINE s-p") == "ACK in use\n");
+    run_until(io, [&] { return down(first) == "0\n"; });
+    // A file of another version is left alone, and the answers say what is true.
+    std::filesystem::path file;
+    for (const auto& f : std::filesystem::directory_iterator{program.folder()})
+        if (f.path().extension() == ".bans") file = f.path();
+    CHECK(!file.empty());
+    std::ofstream{file} << "silverrail-bans 2\nout s-a\nend 1\n";
+    CHECK(call(io, second, "OFFLINE s-a").starts_with("NAK out in this process, but not kept for another: "));
+    CHECK(down(second) == "1\n");
+    CHECK(call(io, second, "ONLINE s-a").starts_with("NAK nothing was changed: ") && down(second) == "1\n");
+    // A damaged one lifts no ban, is said, and the next call writes it anew with what is out here.
+    std::ofstream{file} << "silverrail-bans 1\nout s-";
+    run_until(io, [&] { return program.logged("damaged; what is out here stays out"); });
+    CHECK(down(second) == "1\n" && call(io, second, "OFFLINE s-p") == "ACK out\n" && down(second) == "2\n");
+    run_until(io, [&] { return down(first) == "2\n"; });
+    // No place to write to: a folder where the new file would go.
+    std::filesystem::create_directory(file.string() + ".new");
+    CHECK(call(io, second, "ONLINE s-p").starts_with("NAK nothing was changed: ") && down(second) == "2\n");
+    std::filesystem::remove(file.string() + ".new");
+    CHECK(call(io, second, "ONLINE s-p") == "ACK in use\n" &&
+          call(io, second, "ONLINE s-a") == "ACK in use\n");
+    client.send(ask("pages", "00000000000000aa"));
+    run_until(io, [&] { return client.done; });
+    run_until(io, [&] { return down(first) == "0\n" && down(second) == "0\n"; });
+    CHECK(::kill(next, SIGKILL) == 0);
+    CHECK(::waitpid(next, nullptr, 0) == next);
+}
+
 bool has_ended(pid_t pid, bool killed) {
     int status = 0;
     if (::waitpid(pid, &status, WNOHANG) != pid) return false;
@@ -226,6 +305,8 @@
 int main() {
     shares_by_table();
     presence_is_told_by_locks();
+    bans_as_text();
+    bans_over_an_upgrade();
     upgrades_under_load();
     std::puts("upgrade: the new process takes over and nothing is lost");
 }
