--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -4,12 +4,6 @@
 
 namespace silverrail::net {
 
-namespace {
-// A client that has something to ask has sent it by then, even where both machines are busy.
-constexpr std::chrono::milliseconds kJustOpened{50};
-constexpr std::chrono::milliseconds kHalfRequest{500};
-}  // namespace
-
 HttpSession::HttpSession(tcp::socket socket, HttpServer& server)
     : socket_(std::move(socket)),
       server_(server),
@@ -36,6 +30,7 @@
 
 void HttpSession::read() {
     state_ = State::reading;
+    seen_ = 0;
     parser_.emplace();
     parser_->header_limit(server_.limits_.header);
     parser_->body_limit(server_.limits_.body);
@@ -184,18 +179,26 @@
     if (state_ == State::reading && nothing_came()) close();
 }
 
-// Usual clients may keep an idle connection, and ask as soon as they have opened one: whoever does neither
-// goes first.
-std::optional<HttpSession::Use> HttpSession::spare() {
-    if (state_ == State::lingering) return Use::lingering;
-    if (state_ != State::reading) return std::nullopt;
-    const auto age = std::chrono::steady_clock::now() - since_;
-    if (nothing_came()) {
-        if (!first_) return Use::idle;
-        return age < kJustOpened ? Use::just_opened : Use::silent_since_opened;
+// Bytes of the request that is being read, also those that nobody has read yet count.
+std::size_t HttpSession::came() {
+    std::size_t bytes = buffer_.size();
+    if (parser_) bytes += parser_->get().body().size() + (parser_->is_header_done() ? 1 : 0);
+    if (bytes == 0 && !nothing_came()) bytes = 1;
+    return bytes;
+}
+
+members::Standing HttpSession::standing(std::chrono::steady_clock::time_point now) {
+    using Doing = members::Standing::Doing;
+    members::Standing s;
+    if (state_ != State::reading) {
+        s.doing = state_ == State::lingering ? Doing::lingering : Doing::answering;
+    } else if (const std::size_t bytes = came(); bytes != std::exchange(seen_, bytes)) {
+        since_ = now;
     }
-    if (first_ && age > kHalfRequest) return Use::half_request;
-    return std::nullopt;
+    s.asked_before = !first_;
+    s.something_came = seen_ > 0;
+    s.still_for = std::chrono::duration_cast<std::chrono::milliseconds>(now - since_);
+    return s;
 }
 
 HttpServer::HttpServer(asio::io_context& io, const tcp::endpoint& at, HttpLimits limits, Handler handler,
@@ -219,17 +222,18 @@
     session->start();
 }
 
-// Guards usual clients against a flood: the most dispensable connection goes, the longest one of its kind.
+// Guards usual clients against a flood: the most dispensable connection goes, the stillest one of its kind.
 bool HttpServer::make_room() {
     std::shared_ptr<HttpSession> victim;
-    std::optional<HttpSession::Use> use;
+    std::optional<members::GivesWay> kind;
+    const auto now = std::chrono::steady_clock::now();
     for (const auto& [session, weak] : sessions_) {
         const auto alive = weak.lock();
-        const auto spare = alive ? alive->spare() : std::nullopt;
-        if (!spare || (victim && std::pair{*use, victim->since()} <= std::pair{*spare, alive->since()}))
+        const auto gives = alive ? members::gives_way(alive->standing(now)) : std::nullopt;
+        if (!gives || (victim && std::pair{*kind, victim->since()} <= std::pair{*gives, alive->since()}))
             continue;
         victim = alive;
-        use = spare;
+        kind = gives;
     }
     if (!victim) return false;
     victim->close();
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -8,6 +8,7 @@
 
 #include "core/types.h"
 #include "log/log.h"
+#include "members/give_way.h"
 #include "net/asio.h"
 #include "net/listener.h"
 
@@ -45,9 +46,8 @@
     void close();
     void close_if_idle();
 
-    // How readily it is given up when connections run short; absent: it is not.
-    enum class Use { lingering, silent_since_opened, half_request, idle, just_opened };
-    std::optional<Use> spare();
+    // For the decision on who gives way when connections run short.
+    members::Standing standing(std::chrono::steady_clock::time_point now);
     std::chrono::steady_clock::time_point since() const { return since_; }
 
 private:
@@ -62,6 +62,7 @@
     void discard();
     void end_after(Limit limit);  // closes unless the state moves on before that
     bool nothing_came();
+    std::size_t came();
     void watch();
     void on_watch(const error_code& error);
     void lost();
@@ -75,7 +76,8 @@
     std::function<void()> gone_;
     asio::steady_timer limit_;
     State state_ = State::reading;
-    std::chrono::steady_clock::time_point since_;  // opened, last answered, or began to linger
+    std::chrono::steady_clock::time_point since_;  // opened, answered, began to linger, or seen to move
+    std::size_t seen_ = 0;                         // what had come of its request when it was looked at last
     std::uint64_t limits_set_ = 0;
     std::size_t discarded_ = 0;
     bool keep_alive_ = false;
--- a/tests/silverrail/upgrade_test.cpp
+++ b/tests/silverrail/upgrade_test.cpp
@@ -2,6 +2,7 @@
 // killed, the new one killed. Every request is answered exactly once, and no write runs twice.
 #include <map>
 
+#include "members/give_way.h"
 #include "members/shares.h"
 #include "program.h"
 #include "store/presence.h"
@@ -30,6 +31,35 @@
         }
 }
 
+void who_gives_way_by_table() {
+    using members::GivesWay;
+    using Doing = members::Standing::Doing;
+    const std::optional<GivesWay> never;
+    struct Row {
+        members::Standing standing;
+        std::optional<GivesWay> gives;
+    };
+    const Row rows[] = {
+        {{Doing::answering, false, false, 60s}, never},  // a call in flight
+        {{Doing::answering, true, true, 60s}, never},
+        {{Doing::lingering, true, false, 0s}, GivesWay::lingering},  // it has had its last answer
+        {{Doing::waiting, false, false, 1s}, GivesWay::silent},      // never asked
+        {{Doing::waiting, false, false, 999ms}, GivesWay::newcomer},
+        {{Doing::waiting, false, false, 0s}, GivesWay::newcomer},
+        {{Doing::waiting, false, true, 0s}, never},  // a slow writer that moves
+        {{Doing::waiting, false, true, 1s}, never},
+        {{Doing::waiting, false, true, 1001ms}, GivesWay::stalled},
+        {{Doing::waiting, true, true, 1s}, never},
+        {{Doing::waiting, true, true, 2s}, GivesWay::stalled},
+        {{Doing::waiting, true, false, 0s}, GivesWay::idle},  // asked once and stayed
+        {{Doing::waiting, true, false, 60s}, GivesWay::idle},
+    };
+    for (const Row& row : rows) CHECK(members::gives_way(row.standing) == row.gives);
+    // Never the one that asks: whoever does not goes before it, and newcomers last.
+    CHECK(GivesWay::lingering < GivesWay::silent && GivesWay::silent < GivesWay::stalled);
+    CHECK(GivesWay::stalled < GivesWay::idle && GivesWay::idle < GivesWay::newcomer);
+}
+
 void presence_is_told_by_locks() {
     const auto folder =
         std::filesystem::temp_directory_path() / ("silverrail-locks-" + std::to_string(::getpid()));
@@ -304,6 +334,7 @@
 
 int main() {
     shares_by_table();
+    who_gives_way_by_table();
     presence_is_told_by_locks();
     bans_as_text();
     bans_over_an_upgrade();
