Replace small files and peek at sockets in one place each, and drop what nobody calls

Found on reading the change once more: - BanFile wrote beside and renamed by a loop of its own, which acme::Store had already: both now call store::replace_file, the older one's code as it was. The ban file is thus synced before the rename, too. - The look at a socket without reading stood four times, the newest in the line server: net/peek.h. - Bans::merge and BanFile::name had no callers; BansPart::put was a name for one call; 'no such box' was asked twice. - The upgrade test started its next process in three places: struct Next. Its assertions are the same.

Noted and left: DnsServer has an accept loop of its own beside net::Listener, with another pause, backlog and end.

--- a/src/app/bans_part.cpp
+++ b/src/app/bans_part.cpp
@@ -33,19 +33,23 @@
 // What is not readable lifts no ban that is in force here.
 void BansPart::read() {
     try {
-        put(file_->read());
+        engine_.set_bans(file_->read());
     } catch (const std::exception& e) { log_.line("bans", "%s; what is out here stays out", e.what()); }
 }
 
+bool BansPart::known(const core::CacheId& box) const {
+    return engine_.lists(box) || engine_.bans().contains(box);
+}
+
 front::admin::Verdict BansPart::out(const core::CacheId& box) {
-    if (!engine_.lists(box) && !engine_.bans().contains(box)) return {false, "no such box"};
+    if (!known(box)) return {false, "no such box"};
     members::Bans own = engine_.bans();
     if (!own.add(box)) return {false, "too many are out"};
-    put(own);
+    engine_.set_bans(own);
     log_.line("box-out", "%s by hand, %zu are out", box.address.c_str(), own.ids().size());
     if (!file_) return {true, "out, in this process only"};
     try {
-        put(file_->change(own, [&](members::Bans& bans) { bans.add(box); }));
+        engine_.set_bans(file_->change(own, [&](members::Bans& bans) { bans.add(box); }));
     } catch (const std::exception& e) {
         log_.line("bans", "%s", e.what());
         return {false, std::string{"out in this process, but not kept for another: "} + e.what()};
@@ -54,7 +58,7 @@
 }
 
 front::admin::Verdict BansPart::back(const core::CacheId& box) {
-    if (!engine_.lists(box) && !engine_.bans().contains(box)) return {false, "no such box"};
+    if (!known(box)) return {false, "no such box"};
     members::Bans own = engine_.bans();
     own.remove(box);
     if (file_) try {
@@ -63,7 +67,7 @@
             log_.line("bans", "%s", e.what());
             return {false, std::string{"nothing was changed: "} + e.what()};
         }
-    put(own);
+    engine_.set_bans(own);
     log_.line("box-back", "%s by hand, %zu are out", box.address.c_str(), own.ids().size());
     return {true, "in use"};
 }
--- a/src/app/bans_part.h
+++ b/src/app/bans_part.h
@@ -24,7 +24,7 @@
 private:
     void look();
     void read();
-    void put(const members::Bans& bans) { engine_.set_bans(bans); }
+    bool known(const core::CacheId& box) const;  // listed, or out
 
     core::Engine& engine_;
     Log& log_;
--- a/src/members/bans.cpp
+++ b/src/members/bans.cpp
@@ -32,10 +32,6 @@
     return true;
 }
 
-void Bans::merge(const Bans& other) {
-    for (const auto& id : other.ids_) add(id);
-}
-
 std::string Bans::text() const {
     std::string out;
     out.append(kName).append(kVersion) += '\n';
--- a/src/members/bans.h
+++ b/src/members/bans.h
@@ -22,7 +22,6 @@
     void remove(const winchflow::CacheId& id) { ids_.erase(id); }
     bool contains(const winchflow::CacheId& id) const { return ids_.contains(id); }
     const std::set<winchflow::CacheId>& ids() const { return ids_; }
-    void merge(const Bans& other);
     bool operator==(const Bans&) const = default;
 
     std::string text() const;
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -1,6 +1,6 @@
 #include "net/http_server.h"
 
-#include <sys/socket.h>
+#include "net/peek.h"
 
 namespace silverrail::net {
 
@@ -122,8 +122,7 @@
 
 void HttpSession::on_watch(const error_code& error) {
     if (state_ != State::open || error == asio::error::operation_aborted) return;
-    char byte = 0;
-    const auto got = ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    const auto got = peek(socket_);
     if (got > 0) return;  // the next request, early: it waits in the socket
     if (got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) return watch();
     lost();
@@ -171,8 +170,7 @@
 
 bool HttpSession::nothing_came() {
     if (buffer_.size() > 0 || (parser_ && parser_->got_some())) return false;
-    char byte = 0;
-    return ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) <= 0;
+    return peek(socket_) <= 0;
 }
 
 void HttpSession::close_if_idle() {
--- a/src/net/line_server.cpp
+++ b/src/net/line_server.cpp
@@ -1,19 +1,16 @@
 #include "net/line_server.h"
 
-#include <sys/socket.h>
-
 #include <algorithm>
 
+#include "net/peek.h"
+
 namespace silverrail::net {
 
 struct LineServer::Caller {
     enum class State { reading, writing, lingering, closed };
     Caller(asio::io_context& io, tcp::socket s) : socket(std::move(s)), limit(io) {}
     // Bytes that nobody has read yet: it is about to be served, and does not give way.
-    bool something_came() {
-        char byte = 0;
-        return ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
-    }
+    bool something_came() { return peek(socket) > 0; }
     tcp::socket socket;
     asio::steady_timer limit;
     std::string line;
--- /dev/null
+++ b/src/net/peek.h
@@ -0,0 +1,16 @@
+// What a socket holds, without reading it.
+#pragma once
+
+#include <sys/socket.h>
+
+#include "net/asio.h"
+
+namespace silverrail::net {
+
+// As recv of one byte: 1, or 0 at the other side's end, or -1 with errno, EAGAIN where nothing has come.
+inline ssize_t peek(tcp::socket& socket) {
+    char byte = 0;
+    return ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+}
+
+}  // namespace silverrail::net
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -1,12 +1,11 @@
 #include "net/upstream.h"
 
-#include <sys/socket.h>
-
 #include <algorithm>
 #include <array>
 #include <charconv>
 
 #include "config/config.h"
+#include "net/peek.h"
 
 namespace silverrail::net {
 
@@ -126,8 +125,7 @@
     }
     // No answer is expected on an idle connection: whatever can be read, or its end, makes it stale.
     bool stale() {
-        char byte = 0;
-        const auto got = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        const auto got = peek(socket);
         return got >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
     }
     tcp::socket socket;
--- a/src/store/ban_file.cpp
+++ b/src/store/ban_file.cpp
@@ -10,6 +10,8 @@
 #include <stdexcept>
 #include <utility>
 
+#include "store/replace_file.h"
+
 namespace silverrail::store {
 
 namespace {
@@ -65,15 +67,6 @@
     return members::Bans::read(text);
 }
 
-void write_all(const File& file, const std::string& name, const std::string& text) {
-    for (std::size_t done = 0; done < text.size();) {
-        const auto n = ::write(file.fd(), text.data() + done, text.size() - done);
-        if (n < 0 && errno == EINTR) continue;
-        if (n <= 0) throw failed(name, "write");
-        done += static_cast<std::size_t>(n);
-    }
-}
-
 }  // namespace
 
 members::Bans BanFile::read() const {
@@ -94,16 +87,7 @@
         throw std::runtime_error(file_ + ": of a version that is not known here");
     if (found.trouble == members::Bans::Trouble::damaged) found.bans = own;
     change(found.bans);
-    const std::string beside = file_ + ".new";
-    try {
-        const File file{beside, O_WRONLY | O_CREAT | O_TRUNC};
-        if (!file) throw failed(beside, "open");
-        write_all(file, beside, found.bans.text());
-        if (::rename(beside.c_str(), file_.c_str()) != 0) throw failed(file_, "rename");
-    } catch (...) {
-        ::unlink(beside.c_str());
-        throw;
-    }
+    replace_file(file_, found.bans.text());
     seen_ = stamp();
     return found.bans;
 }
--- a/src/store/ban_file.h
+++ b/src/store/ban_file.h
@@ -13,7 +13,6 @@
 class BanFile {
 public:
     explicit BanFile(std::string file) : file_(std::move(file)) {}
-    const std::string& name() const { return file_; }
     // No file is no bans. Throws std::runtime_error, with the file's name, if it can't be read or understood.
     members::Bans read() const;
     // Reads, changes and writes. A damaged file is replaced by what `own` holds, with the change; one of
--- a/tests/silverrail/upgrade_test.cpp
+++ b/tests/silverrail/upgrade_test.cpp
@@ -265,6 +265,16 @@
     return true;
 }
 
+// A further process of the program, once it says that it takes clients.
+struct Next {
+    Next(asio::io_context& io, Program& program)
+        : control(free_endpoint()), pid(program.start(text_of(control))) {
+        run_until(io, [&] { return says_yes(io, control); });
+    }
+    tcp::endpoint control;
+    pid_t pid;
+};
+
 void upgrades_under_load() {
     asio::io_context io;
     Bulletin bulletin{io};
@@ -280,38 +290,32 @@
     };
     some_answers();
     for (int upgrade = 0; upgrade < 4; ++upgrade) {
-        const tcp::endpoint next_control = free_endpoint();
-        const pid_t next = program.start(text_of(next_control));
-        run_until(io, [&] { return says_yes(io, next_control); });
+        const Next next{io, program};
         some_answers();
         CHECK(says_yes(io, control));  // both serve
         CHECK(::kill(serving, SIGTERM) == 0);
         run_until(io, [&] { return has_ended(serving, false); });
         some_answers();
-        serving = next;
-        control = next_control;
+        serving = next.pid;
+        control = next.control;
     }
     CHECK(load.turned_back == 0 && load.refused_connections == 0 && load.unanswered <= 2);
 
     // The new one killed as soon as it serves: what was on its way there may be lost, the old one serves on.
-    const tcp::endpoint doomed_control = free_endpoint();
-    const pid_t doomed = program.start(text_of(doomed_control));
-    run_until(io, [&] { return says_yes(io, doomed_control); });
-    CHECK(::kill(doomed, SIGKILL) == 0);
-    run_until(io, [&] { return has_ended(doomed, true); });
+    const Next doomed{io, program};
+    CHECK(::kill(doomed.pid, SIGKILL) == 0);
+    run_until(io, [&] { return has_ended(doomed.pid, true); });
     some_answers();
     const std::size_t lost = load.turned_back + load.unanswered + load.refused_connections;
     CHECK(says_yes(io, control));
     run_until(io, [&] { return program.logged("overlap 1 processes of this router, 2 before"); });
 
     // The old one killed: the new one is whole.
-    const tcp::endpoint last_control = free_endpoint();
-    const pid_t last = program.start(text_of(last_control));
-    run_until(io, [&] { return says_yes(io, last_control); });
+    const Next last{io, program};
     CHECK(::kill(serving, SIGKILL) == 0);
     run_until(io, [&] { return has_ended(serving, true); });
     some_answers();
-    CHECK(says_yes(io, last_control));
+    CHECK(says_yes(io, last.control));
     // That death cost no more than what the dead one held.
     CHECK(load.turned_back + load.unanswered + load.refused_connections <= lost + 12);
 
@@ -326,8 +330,8 @@
     CHECK(load.lodged.size() > 50);
     std::printf("upgrades: %zu answers, %zu writes, %zu turned back, %zu under a later request\n",
                 load.answered, load.lodged.size(), load.turned_back, load.unanswered);
-    CHECK(::kill(last, SIGTERM) == 0);
-    run_until(io, [&] { return has_ended(last, false); });
+    CHECK(::kill(last.pid, SIGTERM) == 0);
+    run_until(io, [&] { return has_ended(last.pid, false); });
 }
 
 }  // namespace
