Carry the fleet's view between processes: msgpack on UDP and TCP, MEMBERS, counters

The view's state machine had no way to reach another process.

Change: - src/cluster/wire: messages as MessagePack (libmsgpack-cxx-dev, header-only, built without Boost's parts), version 1; msgpack-cxx's own unpack limits refuse an oversize count while it reads, then every string and the record count are held to the bounds of members.h. Undecodable, oversize, other version and out of bounds are told apart. - src/net/peer: datagrams and streams on one port; streams framed by four bytes of length (at most 1 MiB), at most 8 each way, each ended after 2 s, so a silent peer or half a message costs one descriptor for 2 s. Addresses are numeric only: nothing is looked up. A stream is opened from our own bound address, so that whoever is asked can tell who asks. - src/app/peers_part: the state machine on the transport, ticked each probe timeout / 10 (5 to 100 ms); events logged as JSON lines (member-join, -suspect, -refute, -dead, -left, -rejoin, -alive_again, -forgotten); a planned leave on SIGTERM; figures peers.* in GET /counters; MEMBERS on the control address. - Settings: a `peers` section (name, zone, region, bind, advertise, seeds, periods), checked by `silverrail check` with the path in each error (10 cases in parsers_test). Without it nothing is made: no socket, no timer. - A self refute is told once per incarnation: three processes by hand showed three member-refute lines for one SIGSTOP, one for each stale suspicion that came after the first.

Measured: three processes by hand on 127.0.0.11-13: join from one seed; SIGKILL of one: dead in the others' views within 4 s (probe 200 ms); SIGSTOP 1 s of another: suspected, then alive at incarnation 1; SIGTERM: left in the last one's view. wire_test: round trips, 13 bad inputs, a message cut at every offset and every bit flipped, none beyond a bound.

--- /dev/null
+++ b/src/app/peers_part.h
@@ -0,0 +1,44 @@
+// The fleet's view in the running program: the state machine of src/cluster/members on the transport of
+// src/net/peer, ticked by a timer. Made only where the settings have a `peers` section.
+#pragma once
+
+#include <memory>
+
+#include "app/part.h"
+#include "cluster/members.h"
+#include "config/operator.h"
+#include "net/peer.h"
+
+namespace silverrail::app {
+
+class PeersPart : public Part {
+public:
+    // Binds at once; throws config::ConfigError naming peers.bind if it cannot. `unix_ms`: now, for the
+    // start.
+    PeersPart(net::asio::io_context& io, const config::PeersSettings& settings, std::uint64_t seed,
+              std::int64_t unix_ms, Log& log);
+    void start() override;
+    // A planned leave, told to a few, before the port closes.
+    void stop() override;
+    std::string counters() override;
+    // The answer to MEMBERS: a line a member, ourselves first: name state incarnation start address zone
+    // region; then "--".
+    std::string members() const;
+
+private:
+    void tick();
+    void logged();
+    std::vector<cluster::Send> received(const cluster::Message& message);
+    cluster::Time now() const;
+
+    net::asio::io_context& io_;
+    Log& log_;
+    cluster::Members members_;
+    net::Peer peer_;
+    net::asio::steady_timer timer_;
+    std::chrono::milliseconds every_;
+    std::chrono::steady_clock::time_point began_ = std::chrono::steady_clock::now();
+    bool stopped_ = false;
+};
+
+}  // namespace silverrail::app
--- a/src/cluster/members.cpp
+++ b/src/cluster/members.cpp
@@ -151,7 +151,8 @@
         spread(self_);
         return;
     }
-    if (record.state == State::alive || self_.state == State::left) return;
+    if (record.state == State::alive || self_.state == State::left || record.incarnation < self_.incarnation)
+        return;
     // Suspected or declared dead at our incarnation: refute by raising it (SWIM), and take it as a sign that
     // we may be the slow one (Lifeguard).
     self_.incarnation = record.incarnation + 1;
--- /dev/null
+++ b/src/cluster/wire.h
@@ -0,0 +1,36 @@
+// The peers' messages as bytes, and back: MessagePack (msgpack-cxx), version 1. Pure: no I/O.
+//
+// A message is one array: [version, kind, from, from_start, from_address, seq, target, target_address,
+// records], and a record [name, address, zone, region, start, incarnation, state, by]. Strings are bounded as
+// members.h says, the records of a datagram by kMostDatagramRecords and of a stream by Message::kMostRecords.
+// A datagram is one message of at most kMostDatagram bytes; on a stream each message is preceded by its
+// length, four bytes big-endian, at most kMostFrame.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+
+#include "cluster/members.h"
+
+namespace silverrail::cluster::wire {
+
+inline constexpr std::uint32_t kVersion = 1;
+inline constexpr std::size_t kMostDatagram = 1400;  // below a loopback or Ethernet MTU with room for headers
+inline constexpr std::size_t kMostDatagramRecords = 16;
+inline constexpr std::size_t kMostFrame = 1 << 20;  // a whole view of 4,096 members fits
+
+// Why bytes were not taken: each is counted by the transport.
+enum class Trouble : std::uint8_t { undecodable, oversize, other_version, out_of_bounds };
+const char* name_of(Trouble trouble);
+
+// `stream`: the bounds of a push or pull, else those of a datagram.
+std::string encode(const Message& message);
+std::variant<Message, Trouble> decode(std::string_view bytes, bool stream);
+
+// A frame's four bytes of length; the length is checked against kMostFrame by the reader.
+std::string frame_header(std::size_t length);
+std::uint32_t frame_length(const unsigned char header[4]);
+
+}  // namespace silverrail::cluster::wire
--- a/src/config/operator.cpp
+++ b/src/config/operator.cpp
@@ -75,10 +75,37 @@
     return t;
 }
 
+PeersSettings parse_peers(Section s) {
+    PeersSettings p;
+    if (!s.present()) return p;
+    p.name = s.text("name");
+    p.zone = s.text("zone");
+    p.region = s.text("region");
+    p.bind = endpoint(s, "bind");
+    p.advertise = endpoint(s, "advertise");
+    p.seeds = s.texts("seeds", 64);
+    for (const auto& seed : p.seeds)
+        if (!parse_endpoint(seed)) s.wrong("seeds", "not an address and a port: " + seed);
+    p.probe_ms = s.whole("probe_ms", p.probe_ms, 10, 60'000);
+    p.probe_timeout_ms = s.whole("probe_timeout_ms", p.probe_timeout_ms, 1, 60'000);
+    p.push_pull_ms = s.whole("push_pull_ms", p.push_pull_ms, 100, 3'600'000);
+    p.dead_keep_ms = s.whole("dead_keep_ms", p.dead_keep_ms, 1'000, 86'400'000);
+    p.indirect = s.whole("indirect", p.indirect, 0, 16);
+    p.suspicion_mult = s.number("suspicion_mult", p.suspicion_mult, 1, 100);
+    p.suspicion_max_mult = s.number("suspicion_max_mult", p.suspicion_max_mult, 1, 100);
+    if (p.bind.empty()) s.wrong("bind", "needed: where the peers' port is");
+    if (p.name.empty() || p.name.size() > 64) s.wrong("name", "needed, of 1 to 64 bytes");
+    if (p.zone.size() > 32) s.wrong("zone", "at most 32 bytes");
+    if (p.region.size() > 32) s.wrong("region", "at most 32 bytes");
+    if (p.probe_timeout_ms >= p.probe_ms) s.wrong("probe_timeout_ms", "must be shorter than probe_ms");
+    return p;
+}
+
 }  // namespace
 
 std::vector<const char*> changed_sections(const OperatorSettings& a, const OperatorSettings& b) {
     std::vector<const char*> names;
+    if (a.peers != b.peers) names.push_back("peers");
     if (a.dns != b.dns) names.push_back("dns");
     if (a.acme != b.acme) names.push_back("acme");
     if (a.trace != b.trace) names.push_back("trace");
@@ -88,6 +115,7 @@
 OperatorSettings parse_operator(const Json::Value& root, std::vector<std::string>& problems) {
     OperatorSettings o;
     Section file{root, "", problems};
+    o.peers = parse_peers(file.child("peers"));
     o.dns = parse_dns(file.child("dns"));
     o.acme = parse_acme(file.child("acme"), o.dns.on());
     o.trace = parse_trace(file.child("trace"));
--- a/src/config/operator.h
+++ b/src/config/operator.h
@@ -50,7 +50,27 @@
     bool operator==(const TraceSettings&) const = default;
 };
 
+// The fleet's view (docs/operating.md). No bind: off, and nothing of it listens or talks.
+struct PeersSettings {
+    std::string name;  // this member's, unique in the fleet
+    std::string zone;
+    std::string region;
+    std::string bind;       // a.b.c.d:port, datagrams and stream alike
+    std::string advertise;  // where others reach it; empty: the bind address
+    std::vector<std::string> seeds;
+    std::int64_t probe_ms = 1000;
+    std::int64_t probe_timeout_ms = 500;
+    std::int64_t push_pull_ms = 30'000;
+    std::int64_t dead_keep_ms = 60'000;
+    std::int64_t indirect = 3;
+    double suspicion_mult = 4;
+    double suspicion_max_mult = 6;
+    bool on() const { return !bind.empty(); }
+    bool operator==(const PeersSettings&) const = default;
+};
+
 struct OperatorSettings {
+    PeersSettings peers;
     DnsSettings dns;
     AcmeSettings acme;
     TraceSettings trace;
--- a/src/config/section.cpp
+++ b/src/config/section.cpp
@@ -67,6 +67,23 @@
     return fallback;
 }
 
+std::vector<std::string> Section::texts(const char* key, std::size_t most) {
+    const Json::Value& v = value(key);
+    std::vector<std::string> out;
+    if (v.isNull()) return out;
+    if (!v.isArray() || v.size() > most) {
+        wrong(key, "expected a list of at most " + std::to_string(most) + " texts");
+        return out;
+    }
+    for (const Json::Value& item : v) {
+        if (item.isString())
+            out.push_back(item.asString());
+        else
+            wrong(key, "expected only texts");
+    }
+    return out;
+}
+
 std::vector<std::string> Section::words(const char* key, const std::vector<std::string>& known) {
     const Json::Value& v = value(key);
     std::vector<std::string> out;
--- a/src/config/section.h
+++ b/src/config/section.h
@@ -29,6 +29,8 @@
     double number(const char* key, double fallback, double least, double most);
     // A list of words, each one of `known`.
     std::vector<std::string> words(const char* key, const std::vector<std::string>& known);
+    // A list of at most `most` texts.
+    std::vector<std::string> texts(const char* key, std::size_t most);
     void wrong(const char* key, const std::string& what);  // e.g. two keys that do not go together
     std::string at(const char* key) const { return path_.empty() ? key : path_ + "." + key; }
 
--- a/src/front/admin/admin.cpp
+++ b/src/front/admin/admin.cpp
@@ -18,6 +18,8 @@
         case Call::Kind::dump: return figures(engine_.counters());
         case Call::Kind::offline: return said(hands_.out(box));
         case Call::Kind::online: return said(hands_.back(box));
+        case Call::Kind::members:
+            return members_ ? members_() : no("no peers: this router keeps no view of the fleet");
     }
     return no("unknown call");
 }
--- a/src/front/admin/admin.h
+++ b/src/front/admin/admin.h
@@ -1,6 +1,8 @@
 // The second address as operators see it: a call in, an answer out.
 #pragma once
 
+#include <functional>
+
 #include "core/engine.h"
 #include "lifecycle.h"
 
@@ -21,8 +23,10 @@
 
 class Admin {
 public:
-    Admin(core::Engine& engine, Hands& hands, const Lifecycle& lifecycle, Log& log)
-        : engine_(engine), hands_(hands), lifecycle_(lifecycle), log_(log) {}
+    // `members`: the fleet's view as MEMBERS tells it; empty where the router has no peers.
+    Admin(core::Engine& engine, Hands& hands, const Lifecycle& lifecycle, Log& log,
+          std::function<std::string()> members = {})
+        : engine_(engine), hands_(hands), lifecycle_(lifecycle), log_(log), members_(std::move(members)) {}
     std::string answer(std::string_view line, bool ended);
 
 private:
@@ -30,6 +34,7 @@
     Hands& hands_;
     const Lifecycle& lifecycle_;
     Log& log_;
+    std::function<std::string()> members_;
 };
 
 }  // namespace silverrail::front::admin
--- a/src/front/admin/words.h
+++ b/src/front/admin/words.h
@@ -10,7 +10,7 @@
 namespace silverrail::front::admin {
 
 struct Call {
-    enum class Kind { health, dump, offline, online };
+    enum class Kind { health, dump, offline, online, members };
     Kind kind = Kind::health;
     std::string box{};  // offline, online: its id
     bool operator==(const Call&) const = default;
--- /dev/null
+++ b/tests/cluster/wire_test.cpp
@@ -0,0 +1,130 @@
+// The peers' bytes: a message and back, and a table of bad input, cut at every offset and flipped at every
+// byte.
+#include "cluster/wire.h"
+
+#include <cstdio>
+#include <string>
+
+#include "../silverrail/check.h"
+
+using namespace silverrail::cluster;
+namespace wire = silverrail::cluster::wire;
+
+namespace {
+
+Message sample(std::size_t records) {
+    Message m;
+    m.kind = Message::Kind::ping_req;
+    m.from = "r-17";
+    m.from_start = 1'796'000'000'123;
+    m.from_address = "127.0.0.17:7946";
+    m.seq = 4'000'000'000u;
+    m.target = "r-3";
+    m.target_address = "127.0.0.3:7946";
+    for (std::size_t i = 0; i < records; ++i)
+        m.records.push_back({{"r-" + std::to_string(i), "127.0.0.1:" + std::to_string(7000 + i), "z2", "r1"},
+                             1'796'000'000'000 + i,
+                             i * 3,
+                             static_cast<State>(i % 4),
+                             i % 2 ? "r-1" : ""});
+    return m;
+}
+
+bool refused_as(const std::string& bytes, bool stream, wire::Trouble trouble) {
+    const auto got = wire::decode(bytes, stream);
+    const auto* t = std::get_if<wire::Trouble>(&got);
+    return t && *t == trouble;
+}
+
+void check_round_trip() {
+    for (std::size_t n : {0u, 1u, 6u, 16u}) {
+        const auto m = sample(n);
+        const auto bytes = wire::encode(m);
+        const auto back = wire::decode(bytes, false);
+        CHECK(std::holds_alternative<Message>(back) && std::get<Message>(back) == m);
+    }
+    // A whole view goes on a stream, not in a datagram.
+    const auto view = sample(600);
+    const auto bytes = wire::encode(view);
+    CHECK(bytes.size() > wire::kMostDatagram && bytes.size() < wire::kMostFrame);
+    CHECK(std::get<Message>(wire::decode(bytes, true)) == view);
+    CHECK(refused_as(bytes, false, wire::Trouble::oversize));
+    const unsigned char header[4] = {0x00, 0x01, 0x02, 0x03};
+    CHECK(wire::frame_length(header) == 0x010203u);
+    const auto h = wire::frame_header(0x0a0b0c0d);
+    CHECK(wire::frame_length(reinterpret_cast<const unsigned char*>(h.data())) == 0x0a0b0c0du);
+}
+
+void check_bad_input() {
+    const std::string good = wire::encode(sample(3));
+    std::string other_version = good;
+    other_version[1] = 2;  // [9-array, version 1, ...]: the version is the second byte
+    std::string long_name = wire::encode([] {
+        auto m = sample(1);
+        m.records[0].who.name = std::string(65, 'n');
+        return m;
+    }());
+    std::string long_address = wire::encode([] {
+        auto m = sample(0);
+        m.from_address = std::string(65, 'a');
+        return m;
+    }());
+    const struct {
+        const char* what;
+        std::string bytes;
+        bool stream;
+        wire::Trouble trouble;
+    } kCases[] = {
+        {"empty", "", false, wire::Trouble::undecodable},
+        {"garbage", "\xc1\xc1\xc1", false, wire::Trouble::undecodable},
+        {"a number, not a message", "\x2a", false, wire::Trouble::undecodable},
+        {"another version", other_version, false, wire::Trouble::other_version},
+        {"trailing bytes", good + std::string(1, '\0'), false, wire::Trouble::undecodable},
+        {"a datagram too long", std::string(wire::kMostDatagram + 1, '\x90'), false, wire::Trouble::oversize},
+        {"an array that claims 2^32-1 items", "\xdd\xff\xff\xff\xff", false, wire::Trouble::out_of_bounds},
+        {"a string that claims 4 GB", std::string("\x99\x01\x00\xdb\xff\xff\xff\xff", 8), false,
+         wire::Trouble::undecodable},
+        {"a string longer than any field", std::string("\x99\x01\x00\xd9\xc8", 5) + std::string(200, 'a'),
+         false, wire::Trouble::out_of_bounds},
+        {"a name too long", long_name, false, wire::Trouble::out_of_bounds},
+        {"an address too long", long_address, false, wire::Trouble::out_of_bounds},
+        {"too many records for a datagram", wire::encode(sample(17)), false, wire::Trouble::out_of_bounds},
+        {"a state that is none",
+         [&] {
+             auto m = sample(1);
+             std::string b = wire::encode(m);
+             // The record's state sits just before its last string ("" here: 0xa0).
+             b[b.size() - 2] = 9;
+             return b;
+         }(),
+         false, wire::Trouble::undecodable},
+    };
+    for (const auto& c : kCases) {
+        if (!refused_as(c.bytes, c.stream, c.trouble)) {
+            std::fprintf(stderr, "%s: not refused as it should be\n", c.what);
+            CHECK(false);
+        }
+    }
+    // Cut at every offset: never a message, never a crash.
+    for (std::size_t cut = 0; cut < good.size(); ++cut)
+        CHECK(std::holds_alternative<wire::Trouble>(wire::decode(good.substr(0, cut), false)));
+    // Every byte flipped: either refused, or a message within every bound (never more than was there).
+    for (std::size_t at = 0; at < good.size(); ++at)
+        for (int bit = 0; bit < 8; ++bit) {
+            std::string b = good;
+            b[at] = static_cast<char>(b[at] ^ (1 << bit));
+            const auto got = wire::decode(b, false);
+            if (const auto* m = std::get_if<Message>(&got)) {
+                CHECK(m->records.size() <= wire::kMostDatagramRecords && m->from.size() <= kLongestName);
+                for (const auto& r : m->records) CHECK(r.who.address.size() <= kLongestAddress);
+            }
+        }
+}
+
+}  // namespace
+
+int main() {
+    check_round_trip();
+    check_bad_input();
+    std::puts("wire: every message back as it was; bad bytes refused by kind, at every cut and flip");
+}
--- a/tests/silverrail/admin_test.cpp
+++ b/tests/silverrail/admin_test.cpp
@@ -25,6 +25,8 @@
     const Row rows[] = {
         {"HEALTH", true, Kind::health},
         {"DUMP", true, Kind::dump},
+        {"MEMBERS", true, Kind::members},
+        {"MEMBERS all", true, std::nullopt},
         {"HEALTH\r", true, Kind::health},
         {"HEALTH", false, std::nullopt},   // half a call, then closed
         {"", true, std::nullopt},          // an empty line
--- a/tests/silverrail/parsers_test.cpp
+++ b/tests/silverrail/parsers_test.cpp
@@ -289,6 +289,36 @@
                                             "trace.most_mb: expected a whole number from 1 to 1048576",
                                             "trace.dump.share: no such setting", "x: no such setting"};
     CHECK(problems == expected);
+    // The peers: absent, off; present, each wrong key by its path.
+    const struct {
+        const char* json;
+        std::vector<std::string> problems;
+    } kPeers[] = {
+        {R"({})", {}},
+        {R"({"peers":{"name":"a","bind":"127.0.0.1:7946","seeds":["127.0.0.2:7946"]}})", {}},
+        {R"({"peers":{"name":"a"}})", {"peers.bind: needed: where the peers' port is"}},
+        {R"({"peers":{"bind":"127.0.0.1:7946"}})", {"peers.name: needed, of 1 to 64 bytes"}},
+        {R"({"peers":{"name":"a","bind":"127.0.0.1:7946","seeds":"x"}})",
+         {"peers.seeds: expected a list of at most 64 texts"}},
+        {R"({"peers":{"name":"a","bind":"127.0.0.1:7946","seeds":["nowhere"]}})",
+         {"peers.seeds: not an address and a port: nowhere"}},
+        {R"({"peers":{"name":"a","bind":"127.0.0.1:7946","probe_ms":100,"probe_timeout_ms":100}})",
+         {"peers.probe_timeout_ms: must be shorter than probe_ms"}},
+        {R"({"peers":{"name":"a","bind":"127.0.0.1:7946","probe_ms":5}})",
+         {"peers.probe_ms: expected a whole number from 10 to 60000"}},
+        {R"({"peers":{"name":"a","bind":"127.0.0.1:7946","zone":"zzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzz"}})",
+         {"peers.zone: at most 32 bytes"}},
+        {R"({"peers":{"name":"a","bind":"127.0.0.1:7946","gossip":1}})", {"peers.gossip: no such setting"}},
+    };
+    for (const auto& c : kPeers) {
+        std::vector<std::string> found;
+        const auto o = config::parse_operator(*config::parse_json(c.json), found);
+        if (found != c.problems) {
+            for (const auto& f : found) std::fprintf(stderr, "%s: %s\n", c.json, f.c_str());
+            CHECK(false);
+        }
+        CHECK(o.peers.on() == (std::string_view{c.json}.find("bind") != std::string_view::npos));
+    }
     CHECK(config::parse_endpoint("[::1]:53")->host == "::1");
     for (const char* bad : {"", ":1", "h", "h:", "h:x", "h:65536"}) CHECK(!config::parse_endpoint(bad));
 }
