Prove the fleet's view on eight real processes with a fault relay between them

Waiting is poll() on the processes' standard error, bounded by a deadline. - tests/fleet (ctest label fleet), probes every 250 ms, suspicion 3 to 6 s: join of 8 and a leave; a SIGKILL; a SIGSTOP of 3 s; a one-way cut, 20% loss with 5% duplicates everywhere and 200 +- 50 ms on all links of one member for 10 s; a partition 3 of 8 for 10 s, healed; a restart under the same name; four joining at once; garbage, half, oversize, replayed and forged datagrams, 20 silent streams and half a frame. - A suspect that fails our own probe is now said again by us, as an independent confirmation: before, only the first prober ever counted, so a dead member waited out the longest suspicion.

--- a/src/cluster/members.cpp
+++ b/src/cluster/members.cpp
@@ -261,7 +261,10 @@
     if (probe_->nacks < probe_->nacks_expected) raise_health();
     raise_health();
     const auto found = members_.find(probe_->target);
-    if (found != members_.end() && found->second.record.state == State::alive) {
+    // A suspect that fails our probe too is an independent confirmation (Lifeguard), so it is said again by
+    // us.
+    if (found != members_.end() &&
+        (found->second.record.state == State::alive || found->second.record.state == State::suspect)) {
         Record suspicion = found->second.record;
         suspicion.state = State::suspect;
         suspicion.by = self_.who.name;
--- /dev/null
+++ b/tests/fleet/fleet_test.cpp
@@ -0,0 +1,250 @@
+// Several real processes of the program, their peer traffic through the fault relay: joins, a crash, a stall,
+// bad links, a partition and its healing, a restart under the same name, many joining at once, and bad peers.
+// One scenario a run, named by the first argument, so that ctest runs them side by side.
+#include "lab/fleet.h"
+
+#include <signal.h>
+
+#include <cstdio>
+#include <cstring>
+#include <filesystem>
+#include <string>
+
+#include "../silverrail/check.h"
+#include "cluster/wire.h"
+#include "net/peer.h"
+
+using namespace silverrail;
+using namespace std::chrono_literals;
+using lab::Fleet;
+
+namespace {
+
+// Probes every 250 ms; a suspicion waits 3 s at least (12 * 250 ms) and 6 s at most: a stall of 3 s is not
+// a death, a crash is one within 5 s.
+lab::Fleet::Options options(std::size_t members) {
+    return {members, SILVERRAIL_PROGRAM,
+            R"(,"probe_ms":250,"probe_timeout_ms":100,"push_pull_ms":1000,"dead_keep_ms":30000,)"
+            R"("suspicion_mult":12,"suspicion_max_mult":2)",
+            7};
+}
+
+void start_all(Fleet& fleet, std::size_t from, std::size_t to) {
+    for (std::size_t i = from; i < to; ++i) fleet.start(i);
+}
+
+std::size_t lines(const std::string& log, const std::string& what) {
+    std::size_t n = 0;
+    for (auto at = log.find(what); at != std::string::npos; at = log.find(what, at + 1)) ++n;
+    return n;
+}
+
+// No member of the fleet has declared anyone dead.
+bool no_death(Fleet& fleet) {
+    for (std::size_t i = 0; i < 8; ++i)
+        if (fleet.running(i) && lines(fleet.log(i), "member-dead ") > 0) return false;
+    return true;
+}
+
+void join() {
+    Fleet fleet{options(8)};
+    const auto began = std::chrono::steady_clock::now();
+    start_all(fleet, 0, 8);
+    CHECK(fleet.wait_until([&] { return fleet.agree(); }, 3s));
+    std::printf("join: 8 agree after %lld ms\n",
+                static_cast<long long>(std::chrono::duration_cast<std::chrono::milliseconds>(
+                                           std::chrono::steady_clock::now() - began)
+                                           .count()));
+    CHECK(fleet.view(3).size() == 8);
+    // A planned leave is told, not found out.
+    fleet.signal(7, SIGTERM);
+    CHECK(fleet.wait_until([&] { return fleet.everyone_sees(7, "left", {7}); }, 3s));
+    CHECK(no_death(fleet));
+}
+
+void crash() {
+    Fleet fleet{options(8)};
+    start_all(fleet, 0, 8);
+    CHECK(fleet.wait_until([&] { return fleet.agree(); }, 3s));
+    fleet.kill(4);
+    CHECK(fleet.wait_until([&] { return fleet.everyone_sees(4, "dead"); }, 5s));
+    CHECK(fleet.agree());
+}
+
+void stall() {
+    Fleet fleet{options(8)};
+    start_all(fleet, 0, 8);
+    CHECK(fleet.wait_until([&] { return fleet.agree(); }, 3s));
+    fleet.signal(2, SIGSTOP);
+    const auto stopped = std::chrono::steady_clock::now();
+    bool suspected = false;
+    fleet.wait_until(
+        [&] {
+            for (std::size_t i : {0, 5}) suspected = suspected || fleet.view(i)["m2"].state == "suspect";
+            return std::chrono::steady_clock::now() - stopped >= 3s;
+        },
+        4s);
+    CHECK(suspected);
+    fleet.signal(2, SIGCONT);
+    CHECK(fleet.wait_until([&] { return fleet.agree(); }, 3s));
+    CHECK(fleet.view(0)["m2"].incarnation >= 1);  // it refuted
+    CHECK(lines(fleet.log(2), "member-refute ") >= 1);
+    // Woken, it blamed nobody for the time it did not run, and nobody took it for dead.
+    CHECK(no_death(fleet));
+}
+
+void bad_links() {
+    Fleet fleet{options(8)};
+    start_all(fleet, 0, 8);
+    CHECK(fleet.wait_until([&] { return fleet.agree(); }, 3s));
+    auto& relay = fleet.relay();
+    relay.set(1, 2, {.cut = true});  // one way only
+    for (std::size_t a = 0; a < 8; ++a)
+        for (std::size_t b = 0; b < 8; ++b)
+            if (a != b && !(a == 1 && b == 2)) relay.set(a, b, {.loss = 0.2, .duplicate = 0.05});
+    for (std::size_t b = 0; b < 8; ++b)
+        if (b != 3) relay.set_both(3, b, {.loss = 0.2, .delay = 200ms, .jitter = 50ms});
+    // Ten seconds of it: nobody is declared dead, however often suspected.
+    fleet.wait_until([] { return false; }, 10s);
+    CHECK(no_death(fleet));
+    relay.clear();
+    CHECK(fleet.wait_until([&] { return fleet.agree(); }, 5s));
+    std::printf("bad links: %llu datagrams dropped, %llu passed\n",
+                static_cast<unsigned long long>(relay.dropped()),
+                static_cast<unsigned long long>(relay.passed()));
+}
+
+void partition() {
+    Fleet fleet{options(8)};
+    start_all(fleet, 0, 8);
+    CHECK(fleet.wait_until([&] { return fleet.agree(); }, 3s));
+    for (std::size_t a = 0; a < 5; ++a)
+        for (std::size_t b = 5; b < 8; ++b) fleet.relay().set_both(a, b, {.cut = true});
+    // Each side loses sight of the other (suspect, then dead), for 10 s.
+    const auto cut = std::chrono::steady_clock::now();
+    bool apart = false;
+    fleet.wait_until(
+        [&] {
+            apart = apart || (fleet.view(0)["m6"].state != "alive" && fleet.view(6)["m1"].state != "alive");
+            return std::chrono::steady_clock::now() - cut >= 10s;
+        },
+        11s);
+    CHECK(apart);
+    std::printf("partition: m0 holds m6 %s, m6 holds m1 %s\n", fleet.view(0)["m6"].state.c_str(),
+                fleet.view(6)["m1"].state.c_str());
+    fleet.relay().clear();
+    const auto healed = std::chrono::steady_clock::now();
+    CHECK(fleet.wait_until([&] { return fleet.agree(); }, 5s));
+    std::printf("partition: one view %lld ms after healing\n",
+                static_cast<long long>(std::chrono::duration_cast<std::chrono::milliseconds>(
+                                           std::chrono::steady_clock::now() - healed)
+                                           .count()));
+}
+
+void restart() {
+    Fleet fleet{options(8)};
+    start_all(fleet, 0, 8);
+    CHECK(fleet.wait_until([&] { return fleet.agree(); }, 3s));
+    const auto before = fleet.view(0)["m5"].start;
+    fleet.kill(5);
+    fleet.start(5);
+    // A new member under the old name: a later start, whatever incarnation the old one had.
+    CHECK(fleet.wait_until(
+        [&] {
+            for (std::size_t i = 0; i < 8; ++i)
+                if (i != 5 && fleet.view(i)["m5"].start <= before) return false;
+            return fleet.agree();
+        },
+        3s));
+    CHECK(lines(fleet.log(0), "member-rejoin ") + lines(fleet.log(1), "member-rejoin ") >= 1);
+    CHECK(no_death(fleet));
+}
+
+void crowd() {
+    Fleet fleet{options(8)};
+    start_all(fleet, 0, 4);
+    CHECK(fleet.wait_until([&] { return fleet.agree(); }, 3s));
+    start_all(fleet, 4, 8);  // four at once
+    CHECK(fleet.wait_until([&] { return fleet.agree() && fleet.view(0).size() == 8; }, 5s));
+}
+
+std::size_t descriptors(pid_t pid) {
+    std::size_t n = 0;
+    for ([[maybe_unused]] const auto& e :
+         std::filesystem::directory_iterator{"/proc/" + std::to_string(pid) + "/fd"})
+        ++n;
+    return n;
+}
+
+void bad_peers() {
+    Fleet fleet{options(3)};
+    start_all(fleet, 0, 3);
+    CHECK(fleet.wait_until([&] { return fleet.agree(); }, 3s));
+    namespace asio = net::asio;
+    asio::io_context io;
+    const auto at = *net::Peer::endpoint_of(fleet.peer_address(0));
+    asio::ip::udp::socket u{io, asio::ip::udp::endpoint{asio::ip::make_address("127.0.0.1"), 0}};
+    cluster::Message forged;
+    forged.kind = cluster::Message::Kind::ping;
+    forged.from = "m1";
+    forged.from_address = fleet.relay().address(1);
+    forged.target = "m0";
+    const auto m0 = fleet.view(0)["m0"];
+    forged.records.push_back(
+        {{"m0", fleet.relay().address(0), "z0", "r1"}, m0.start, 99, cluster::State::alive, ""});
+    const std::string forged_bytes = cluster::wire::encode(forged);
+    cluster::Message replay = forged;
+    replay.records.clear();
+    replay.seq = 12345;
+    const std::string replayed = cluster::wire::encode(replay);
+    const std::string sends[] = {"garbage",
+                                 forged_bytes.substr(0, forged_bytes.size() / 2),
+                                 std::string(2000, 'x'),
+                                 replayed,
+                                 replayed,
+                                 replayed,
+                                 forged_bytes};
+    const auto base = descriptors(fleet.pid(0));
+    for (const auto& bytes : sends) u.send_to(asio::buffer(bytes), at);
+    // Streams that stay silent, and one that sends half a frame: let go within their time.
+    std::vector<net::tcp::socket> silent;
+    for (int i = 0; i < 20; ++i) {
+        silent.emplace_back(io);
+        net::error_code ignored;
+        silent.back().connect(net::tcp::endpoint{at.address(), at.port()}, ignored);
+    }
+    const std::string half = cluster::wire::frame_header(500) + "abc";
+    asio::write(silent.front(), asio::buffer(half));
+    CHECK(fleet.wait_until(
+        [&] {
+            auto c = fleet.counters(0);
+            return c["peers.refused_undecodable"] >= 2 && c["peers.refused_records"] >= 1 &&
+                   c["peers.streams_turned_away"] >= 1;
+        },
+        3s));
+    CHECK(descriptors(fleet.pid(0)) <= base + 8 + 1);
+    CHECK(fleet.wait_until([&] { return descriptors(fleet.pid(0)) <= base + 1; }, 4s));
+    // Nothing of it was applied: our incarnation is our own, and the router still serves.
+    CHECK(fleet.view(0)["m0"].incarnation == m0.incarnation);
+    CHECK(fleet.call(0, "HEALTH").rfind("ACK", 0) == 0);
+    CHECK(fleet.agree());
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+    const struct {
+        const char* name;
+        void (*run)();
+    } kScenarios[] = {{"join", join},           {"crash", crash},         {"stall", stall},
+                      {"bad_links", bad_links}, {"partition", partition}, {"restart", restart},
+                      {"crowd", crowd},         {"bad_peers", bad_peers}};
+    for (const auto& s : kScenarios)
+        if (argc > 1 && std::strcmp(argv[1], s.name) == 0) {
+            s.run();
+            std::printf("fleet %s: as it should be\n", s.name);
+            return 0;
+        }
+    std::fprintf(stderr, "which scenario?\n");
+    return 2;
+}
