Rename a shadowed error code in the relay, which the strict test build refused

The test preset builds with -Werror=shadow; relay.cpp declared 'ignored' inside a lambda below another.

--- a/src/lab/relay.cpp
+++ b/src/lab/relay.cpp
@@ -167,8 +167,8 @@
                         [this, client, server](const error_code& c) {
                             --streams_;
                             if (c) {
-                                error_code ignored;
-                                client->close(ignored);
+                                error_code unused;
+                                client->close(unused);
                                 return;
                             }
                             ++passed_;
