Read a peer's host and port with the settings' parse_endpoint instead of a second parser

On reading the change again: Peer::endpoint_of split host:port by hand beside config::parse_endpoint, which the settings already use for peers.bind and peers.seeds. It now calls that and only adds what the transport needs: a numeric host (make_address) and a port above 0.

--- a/src/net/peer.cpp
+++ b/src/net/peer.cpp
@@ -1,6 +1,6 @@
 #include "net/peer.h"
 
-#include <charconv>
+#include "config/config.h"
 
 namespace silverrail::net {
 
@@ -16,19 +16,13 @@
 };
 
 std::optional<udp::endpoint> Peer::endpoint_of(std::string_view address) {
-    const auto colon = address.rfind(':');
-    if (colon == std::string_view::npos) return std::nullopt;
-    auto host = address.substr(0, colon);
-    if (host.size() > 2 && host.front() == '[' && host.back() == ']') host = host.substr(1, host.size() - 2);
-    unsigned port = 0;
-    const auto digits = address.substr(colon + 1);
-    const auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), port);
-    if (error != std::errc{} || end != digits.data() + digits.size() || port == 0 || port > 65535)
-        return std::nullopt;
+    // The settings' own reading of host:port; here the host must be a number, so that nothing is looked up.
+    const auto parsed = config::parse_endpoint(address);
+    if (!parsed || parsed->port == 0) return std::nullopt;
     error_code bad;
-    const auto ip = asio::ip::make_address(std::string{host}, bad);
+    const auto ip = asio::ip::make_address(parsed->host, bad);
     if (bad) return std::nullopt;
-    return udp::endpoint{ip, static_cast<unsigned short>(port)};
+    return udp::endpoint{ip, parsed->port};
 }
 
 namespace {
