--- a/src/cluster/members.cpp
+++ b/src/cluster/members.cpp
@@ -24,6 +24,7 @@
         case Message::Kind::nack: return "nack";
         case Message::Kind::push: return "push";
         case Message::Kind::pull: return "pull";
+        case Message::Kind::gossip: return "gossip";
     }
     return "?";
 }
@@ -55,16 +56,58 @@
       seeds_(std::move(seeds)),
       last_call_(now),
       // Members that start together would probe in step: the first probe falls anywhere in the first period.
-      next_probe_(now + Time{static_cast<Time::rep>(dice_() % static_cast<std::uint64_t>(std::max<Time::rep>(
-                                                                  1, settings.probe_interval.count())))}),
-      next_push_(now) {
+      next_probe_(now + within(settings.probe_interval)),
+      next_push_(now),
+      next_gossip_(now),
+      next_recheck_(now) {
+    tally(self_, true);
     spread(self_);
 }
 
-std::size_t Members::count(State state) const {
-    std::size_t n = self_.state == state ? 1 : 0;
-    for (const auto& [name, member] : members_) n += member.record.state == state ? 1 : 0;
-    return n;
+namespace {
+
+// FNV-1a, the same in every build and on every machine: members compare what they compute.
+std::uint64_t fnv(std::uint64_t h, std::string_view bytes) {
+    for (const unsigned char c : bytes) h = (h ^ c) * 1099511628211ULL;
+    return h;
+}
+std::uint64_t fnv(std::uint64_t h, std::uint64_t number) {
+    for (int i = 0; i < 8; ++i) h = (h ^ ((number >> (8 * i)) & 0xff)) * 1099511628211ULL;
+    return h;
+}
+constexpr std::uint64_t kBasis = 14695981039346656037ULL;
+// Views that hold different members, or so many at different incarnations (after a cut, when everybody
+// refutes) that datagrams alone would take long: worth exchanging again at once. A few refutes under way are
+// not.
+bool far_apart(const Digest& a, const Digest& b) {
+    std::size_t differ = 0;
+    for (std::size_t i = 0; i < kBuckets; ++i) differ += a.buckets[i] != b.buckets[i];
+    return a.roster != b.roster || differ > kBuckets / 2;
+}
+
+std::size_t bucket_of(const std::string& name) { return fnv(kBasis, name) % kBuckets; }
+
+}  // namespace
+
+// Counts a record in or out of the sums by state and the digest.
+void Members::tally(const Record& r, bool in) {
+    by_state_[static_cast<std::size_t>(r.state)] += in ? 1 : std::size_t(-1);
+    if (r.state == State::alive || r.state == State::suspect) {
+        const auto run = fnv(fnv(kBasis, r.who.name), r.start);
+        digest_.roster ^= run;
+        digest_.buckets[bucket_of(r.who.name)] ^= fnv(run, r.incarnation);
+    }
+}
+
+std::vector<Record> Members::differing(const Digest& other) const {
+    std::vector<Record> out;
+    const auto add = [&](const Record& r) {
+        const auto b = bucket_of(r.who.name);
+        if (digest_.buckets[b] != other.buckets[b]) out.push_back(r);
+    };
+    add(self_);
+    for (const auto& [name, member] : members_) add(member.record);
+    return out;
 }
 
 std::vector<Event> Members::take_events() { return std::exchange(events_, {}); }
@@ -99,28 +142,53 @@
     return true;
 }
 
+// Somebody new or back is seldom alone (a roll-out, a healed cut): the next exchange of views comes within
+// one and a half probe intervals, so that all have all of them after about log n exchanges. Where views agree
+// it costs two digests.
+void Members::soon(Time now) {
+    const auto span = settings_.probe_interval;
+    next_push_ = std::min(next_push_, now + span / 2 + within(span));
+}
+
+Time Members::within(Time span) {
+    return Time{
+        static_cast<Time::rep>(dice_() % static_cast<std::uint64_t>(std::max<Time::rep>(1, span.count())))};
+}
+
 void Members::event(Event::Kind kind, const Record& record) {
     if (events_.size() < 1024) events_.push_back({kind, record.who.name, record.incarnation, record.by});
 }
 
-void Members::spread(const Record& record) { rumours_[record.who.name] = {record, 0}; }
+void Members::spread(const Record& record) {
+    const auto [at, fresh] = ranks_.try_emplace(record.who.name);
+    if (!fresh) rumours_.erase(at->second);
+    at->second = {0, --later_};
+    rumours_.emplace(at->second, record);
+}
 
 void Members::piggyback(Message& out) {
     const auto n = static_cast<double>(members_.size() + 1);
     const auto limit = settings_.retransmit_mult * static_cast<std::size_t>(std::ceil(std::log10(n + 1)));
-    std::vector<Rumour*> fewest;
-    for (auto& [name, rumour] : rumours_) fewest.push_back(&rumour);
-    const auto take = std::min(fewest.size(), settings_.gossip_per_message);
-    std::partial_sort(fewest.begin(), fewest.begin() + static_cast<std::ptrdiff_t>(take), fewest.end(),
-                      [](const Rumour* a, const Rumour* b) { return a->told < b->told; });
-    for (std::size_t i = 0; i < take; ++i) {
-        if (out.records.size() >= settings_.gossip_per_message) break;
-        if (!out.records.empty() && out.records.front().who.name == fewest[i]->record.who.name) continue;
-        out.records.push_back(fewest[i]->record);
-        ++fewest[i]->told;
+    const auto room =
+        settings_.gossip_per_message - std::min(out.records.size(), settings_.gossip_per_message);
+    std::vector<std::pair<Rank, Record>> told;
+    for (auto it = rumours_.begin(); it != rumours_.end() && told.size() < room;) {
+        if (!out.records.empty() && out.records.front().who.name == it->second.who.name) {
+            ++it;  // the buddy's suspicion is in it already
+            continue;
+        }
+        told.emplace_back(it->first, std::move(it->second));
+        it = rumours_.erase(it);
+    }
+    for (auto& [rank, record] : told) {
+        out.records.push_back(record);
+        if (++rank.told >= std::max<std::size_t>(limit, 1)) {
+            ranks_.erase(record.who.name);
+        } else {
+            ranks_[record.who.name] = rank;
+            rumours_.emplace(rank, std::move(record));
+        }
     }
-    std::erase_if(rumours_,
-                  [limit](const auto& item) { return item.second.told >= std::max<std::size_t>(limit, 1); });
 }
 
 Message Members::message(Message::Kind kind, std::uint32_t seq) {
@@ -134,15 +202,22 @@
 }
 
 void Members::set(Member& member, const Record& record, Time now) {
+    if (!member.record.who.name.empty()) tally(member.record, false);
     member.record = record;
+    tally(record, true);
     member.since = now;
     member.confirmers.clear();
+    if (record.state == State::alive)
+        waiting_.erase(record.who.name);
+    else
+        waiting_.insert(record.who.name);
     if (record.state == State::suspect) {
         member.confirmers.insert(record.by);
         member.deadline = now + suspicion_ceiling();
     } else if (record.state == State::dead || record.state == State::left) {
         member.deadline = now + settings_.dead_keep;
     }
+    if (record.state != State::alive) earliest_ = std::min(earliest_, member.deadline);
 }
 
 void Members::about_self(const Record& record) {
@@ -151,11 +226,17 @@
         spread(self_);
         return;
     }
-    if (record.state == State::alive || self_.state == State::left || record.incarnation < self_.incarnation)
+    if (record.state == State::alive || self_.state == State::left) return;
+    if (record.incarnation < self_.incarnation) {
+        // Refuted already, but whoever sent this has not heard it.
+        spread(self_);
         return;
+    }
     // Suspected or declared dead at our incarnation: refute by raising it (SWIM), and take it as a sign that
     // we may be the slow one (Lifeguard).
+    tally(self_, false);
     self_.incarnation = record.incarnation + 1;
+    tally(self_, true);
     spread(self_);
     event(Event::Kind::refute, self_);
     raise_health();
@@ -176,6 +257,7 @@
         auto& member = members_[record.who.name];
         set(member, record, now);
         event(Event::Kind::join, record);
+        soon(now);
         spread(record);
         return;
     }
@@ -186,6 +268,7 @@
         // The same name, a later run: a new member, whatever the old one's incarnation was.
         set(member, record, now);
         event(Event::Kind::rejoin, record);
+        soon(now);
         spread(record);
         return;
     }
@@ -204,6 +287,7 @@
                 event(Event::Kind::refute, record);
             } else if (was == State::dead || was == State::left) {
                 event(Event::Kind::alive_again, record);
+                soon(now);
             }
             spread(record);
             return;
@@ -230,6 +314,7 @@
                     ceiling -
                     Time{static_cast<Time::rep>(share * static_cast<double>((ceiling - floor).count()))};
                 member.deadline = member.since + std::max(floor, wait);
+                earliest_ = std::min(earliest_, member.deadline);
                 spread(record);
             }
             return;
@@ -247,9 +332,25 @@
     }
 }
 
-std::optional<std::string> Members::pick(const std::vector<std::string>& from) {
-    if (from.empty()) return std::nullopt;
-    return from[dice_() % from.size()];
+// At most `n` different members alive, drawn at random, without `except`.
+std::vector<const Members::Member*> Members::some(std::size_t n, const std::string& except) {
+    std::vector<const Member*> out;
+    const auto take = [&](const std::string& name) {
+        const auto found = members_.find(name);
+        if (found != members_.end() && name != except && found->second.record.state == State::alive &&
+            std::find(out.begin(), out.end(), &found->second) == out.end())
+            out.push_back(&found->second);
+    };
+    // Drawn from the round of probes, as a rule; looked for one by one only where that finds too few.
+    for (std::size_t tries = 0; tries < 4 * n && !round_.empty() && out.size() < n; ++tries)
+        take(round_[dice_() % round_.size()]);
+    if (out.size() >= n) return out;
+    std::vector<const std::string*> names;
+    for (const auto& [name, member] : members_)
+        if (member.record.state == State::alive) names.push_back(&name);
+    std::shuffle(names.begin(), names.end(), dice_);
+    for (std::size_t i = 0; i < names.size() && out.size() < n; ++i) take(*names[i]);
+    return out;
 }
 
 void Members::end_probe(Time, std::vector<Send>&) {
@@ -300,25 +401,38 @@
     out.push_back({target.record.who.address, std::move(ping)});
 }
 
-void Members::push_pull(Time, std::vector<Send>& out) {
-    std::vector<std::string> alive, dead;
-    for (const auto& [name, member] : members_) {
-        if (member.record.state == State::alive || member.record.state == State::suspect)
-            alive.push_back(member.record.who.address);
-        else if (member.record.state == State::dead)
-            dead.push_back(member.record.who.address);
-    }
+// A refute may have passed us by, and our round of probes is long in a large fleet: each period one suspect
+// is told of its suspicion by us, whatever the round is at. Its answer tells of the refute; silence changes
+// nothing.
+void Members::recheck(std::vector<Send>& out) {
+    std::vector<const Record*> suspects;
+    for (const auto& name : waiting_)
+        if (const auto& record = members_.at(name).record; record.state == State::suspect)
+            suspects.push_back(&record);
+    if (suspects.empty()) return;
+    const Record& one = *suspects[dice_() % suspects.size()];
+    auto ping = message(Message::Kind::ping, ++seq_);
+    ping.target = one.who.name;
+    ping.records.push_back(one);
+    out.push_back({one.who.address, std::move(ping)});
+}
+
+void Members::push_pull(std::vector<Send>& out) {
     std::vector<std::string> to;
-    if (auto one = pick(alive))
-        to.push_back(*one);
-    else if (auto seed = pick(seeds_))
-        to.push_back(*seed);
+    if (const auto one = some(1, ""); !one.empty())
+        to.push_back(one.front()->record.who.address);
+    else if (!seeds_.empty())
+        to.push_back(seeds_[dice_() % seeds_.size()]);
     // The way back from a partition: both halves hold the other dead, so one of those is asked too.
-    if (auto one = pick(dead)) to.push_back(*one);
+    std::vector<const std::string*> dead;
+    for (const auto& name : waiting_)
+        if (const auto& record = members_.at(name).record; record.state == State::dead)
+            dead.push_back(&record.who.address);
+    if (!dead.empty()) to.push_back(*dead[dice_() % dead.size()]);
     for (const auto& address : to) {
         if (address == self_.who.address) continue;
         auto push = message(Message::Kind::push, ++seq_);
-        push.records = records();
+        push.digest = digest_;
         ++counts_.pushes;
         out.push_back({address, std::move(push)});
     }
@@ -334,8 +448,9 @@
         raise_health();
         probe_.reset();
         relays_.clear();
-        for (auto& [name, member] : members_)
-            if (member.record.state == State::suspect) member.deadline += gap;
+        for (const auto& name : waiting_)
+            if (auto& member = members_.at(name); member.record.state == State::suspect)
+                member.deadline += gap;
         next_probe_ = std::max(next_probe_, now);
     }
     last_call_ = now;
@@ -348,10 +463,14 @@
         out.push_back({it->second.asker_address, message(Message::Kind::nack, it->second.asker_seq)});
         it = relays_.erase(it);
     }
-    for (auto it = members_.begin(); it != members_.end();) {
-        auto& member = it->second;
-        const auto state = member.record.state;
-        if (state == State::suspect && member.deadline <= now) {
+    const bool due = earliest_ <= now;
+    if (due) earliest_ = Time::max();
+    for (auto it = waiting_.begin(); due && it != waiting_.end();) {
+        auto& member = members_.at(*it);
+        if (member.deadline > now) {
+            earliest_ = std::min(earliest_, member.deadline);
+            ++it;
+        } else if (member.record.state == State::suspect) {
             Record death = member.record;
             death.state = State::dead;
             death.by = self_.who.name;
@@ -359,23 +478,23 @@
             ++counts_.deaths;
             event(Event::Kind::dead, death);
             spread(death);
-        } else if ((state == State::dead || state == State::left) && member.deadline <= now) {
+            ++it;
+        } else {
             event(Event::Kind::forgotten, member.record);
-            rumours_.erase(it->first);
-            it = members_.erase(it);
-            continue;
+            tally(member.record, false);
+            if (const auto rank = ranks_.find(*it); rank != ranks_.end()) {
+                rumours_.erase(rank->second);
+                ranks_.erase(rank);
+            }
+            members_.erase(*it);
+            it = waiting_.erase(it);
         }
-        ++it;
     }
 
     if (probe_ && !probe_->done && !probe_->asked_others &&
         now >= probe_->sent + stretched(settings_.probe_timeout)) {
         // No direct answer: ask k others to try, each answering either way.
-        std::vector<const Member*> helpers;
-        for (const auto& [name, member] : members_)
-            if (name != probe_->target && member.record.state == State::alive) helpers.push_back(&member);
-        std::shuffle(helpers.begin(), helpers.end(), dice_);
-        helpers.resize(std::min(helpers.size(), settings_.indirect_probes));
+        const auto helpers = some(settings_.indirect_probes, probe_->target);
         const auto& target = members_.find(probe_->target);
         if (target != members_.end()) {
             for (const auto* helper : helpers) {
@@ -396,9 +515,26 @@
         start_probe(now, out);
         next_probe_ = now + stretched(settings_.probe_interval);
     }
+    if (now >= next_recheck_) {
+        recheck(out);
+        next_recheck_ = now + settings_.probe_interval;
+    }
+    if (now >= next_gossip_) {
+        // What is new does not wait for the next probe; where nothing is, nothing is sent.
+        if (!rumours_.empty())
+            for (const auto* member : some(settings_.gossip_fanout, "")) {
+                auto news = message(Message::Kind::gossip, 0);
+                piggyback(news);
+                if (!news.records.empty()) out.push_back({member->record.who.address, std::move(news)});
+            }
+        next_gossip_ = now + settings_.probe_interval / 5;
+    }
     if (now >= next_push_) {
-        push_pull(now, out);
-        next_push_ = now + settings_.push_pull_interval;
+        push_pull(out);
+        // Alone, the seed did not answer or had no room: again soon. Else spread around the period, so that
+        // members that started together do not stay in step.
+        const auto span = members_.empty() ? settings_.probe_interval : settings_.push_pull_interval;
+        next_push_ = now + span * 3 / 4 + within(span / 2);
     }
     return out;
 }
@@ -419,6 +555,11 @@
         case Message::Kind::ping: {
             if (in.target != self_.who.name) return out;
             auto ack = message(Message::Kind::ack, in.seq);
+            // Who asks is there: if we hold it suspect or dead, it learns so at once and can refute.
+            const auto asker = members_.find(in.from);
+            if (asker != members_.end() && asker->second.record.start == in.from_start &&
+                (asker->second.record.state == State::suspect || asker->second.record.state == State::dead))
+                ack.records.push_back(asker->second.record);
             piggyback(ack);
             out.push_back({in.from_address, std::move(ack)});
             return out;
@@ -451,13 +592,25 @@
                 ++counts_.nacks;
             }
             return out;
+        case Message::Kind::gossip: return out;
         case Message::Kind::push: {
+            if (!in.digest) return out;
+            if (far_apart(digest_, *in.digest)) soon(now);
             auto pull = message(Message::Kind::pull, in.seq);
-            pull.records = records();
+            pull.digest = digest_;
+            pull.records = differing(*in.digest);
             out.push_back({in.from_address, std::move(pull)});
             return out;
         }
-        case Message::Kind::pull: return out;
+        case Message::Kind::pull: {
+            if (in.digest && far_apart(digest_, *in.digest)) soon(now);
+            // What still differs after theirs was applied is what they lack; without a digest it ends there.
+            if (!in.digest || digest_ == *in.digest) return out;
+            auto push = message(Message::Kind::push, ++seq_);
+            push.records = differing(*in.digest);
+            if (!push.records.empty()) out.push_back({in.from_address, std::move(push)});
+            return out;
+        }
     }
     return out;
 }
@@ -465,18 +618,15 @@
 std::vector<Send> Members::leave(Time now) {
     std::vector<Send> out;
     if (self_.state == State::left) return out;
+    tally(self_, false);
     self_.state = State::left;
+    tally(self_, true);
     spread(self_);
-    std::vector<std::string> alive;
-    for (const auto& [name, member] : members_)
-        if (member.record.state == State::alive) alive.push_back(name);
-    std::shuffle(alive.begin(), alive.end(), dice_);
-    alive.resize(std::min<std::size_t>(alive.size(), settings_.indirect_probes + 1));
-    for (const auto& name : alive) {
+    for (const auto* member : some(settings_.indirect_probes + 1, "")) {
         auto ping = message(Message::Kind::ping, ++seq_);
-        ping.target = name;
+        ping.target = member->record.who.name;
         ping.records.push_back(self_);
-        out.push_back({members_.at(name).record.who.address, std::move(ping)});
+        out.push_back({member->record.who.address, std::move(ping)});
     }
     (void)now;
     return out;
--- a/src/cluster/members.h
+++ b/src/cluster/members.h
@@ -12,14 +12,20 @@
 //
 // What this adds of its own (docs/design/fleet-view.md says why):
 // - A member is a name and a start: the program's start in Unix ms. A record of a later start supersedes any
-// of
-//   an earlier one, so a process restarted with the same name is a new member, never the old one refuting.
+//   of an earlier one, so a process restarted with the same name is a new member, never the old one refuting.
 // - A call that comes long after the one before (the process was stopped, or starved) is a stall of our own:
 //   probes then under way end without suspicion, and suspicion deadlines move on by the stall.
 // - Push-pull also goes, each period, to one member held dead: that is how two halves of a healed partition
 //   find each other without a restart.
+// - Whoever hears from a member that it holds suspect or dead tells it so in the ack, and each period a
+// suspect
+//   is told by everybody who holds it so: after a cut the refutes come at once, not a round of probes later.
+// - News does not wait for a probe: while there is any, it is told to two members each fifth of a period.
+// - Push-pull compares digests first and carries only the records of buckets that differ, so that its load
+//   stays flat as the fleet grows.
 #pragma once
 
+#include <array>
 #include <chrono>
 #include <cstdint>
 #include <map>
@@ -64,14 +70,26 @@
 bool newer(std::uint64_t start, std::uint64_t incarnation, std::uint64_t than_start,
            std::uint64_t than_incarnation);
 
+// What a view holds, in short, over its members that are alive or suspect: the XOR of hashes of (name,
+// start), and for each bucket of names of (name, start, incarnation). Equal views have equal digests whatever
+// order they were learned in. The dead and the left are not in it, as each member forgets those in its own
+// time.
+inline constexpr std::size_t kBuckets = 64;
+struct Digest {
+    std::uint64_t roster = 0;  // who is there; differs only while somebody comes or goes
+    std::array<std::uint64_t, kBuckets> buckets{};
+    bool operator==(const Digest&) const = default;
+};
+
 struct Message {
     enum class Kind : std::uint8_t {
         ping,      // are you there? `target` names who it is meant for
         ack,       // yes (or: the member you asked me to probe is)
         ping_req,  // probe `target` at `target_address` for me
         nack,      // I asked as you wanted and heard nothing (Lifeguard: the asker is not the slow one)
-        push,      // my whole view; answer with yours (over a stream)
-        pull,      // the answer to a push
+        push,      // with a digest: answer with what differs; without: what you lack (over a stream)
+        pull,      // the answer to a push with a digest: my digest, and my records of buckets that differ
+        gossip,    // news alone, not waiting for a probe
     };
     static constexpr std::size_t kMostRecords = 4096;  // in one push or pull; far fewer in a datagram
     Kind kind = Kind::ping;
@@ -81,7 +99,8 @@
     std::uint32_t seq = 0;
     std::string target;
     std::string target_address;
-    std::vector<Record> records;  // gossip piggybacked, or the whole view for push and pull
+    std::vector<Record> records;   // gossip piggybacked, or what differs for push and pull
+    std::optional<Digest> digest;  // push and pull only
     bool operator==(const Message&) const = default;
 };
 const char* name_of(Message::Kind kind);
@@ -114,8 +133,9 @@
     std::size_t suspicion_confirmations = 3;  // after so many independent ones, the shortest applies
     std::size_t most_health = 8;              // Lifeguard's local health multiplier: 0 (well) to this
     Time push_pull_interval{30000};
-    Time dead_keep{60000};               // then a dead or left record is forgotten
-    std::size_t gossip_per_message = 6;  // records piggybacked on one datagram
+    Time dead_keep{60000};                // then a dead or left record is forgotten
+    std::size_t gossip_per_message = 14;  // records piggybacked on one datagram
+    std::size_t gossip_fanout = 2;  // members told of news each fifth of a probe interval, while there is any
     std::size_t most_members = 4096;
 };
 
@@ -150,10 +170,12 @@
     const Record& self() const { return self_; }
     std::size_t health() const { return health_; }
     const Counts& counts() const { return counts_; }
-    std::size_t count(State state) const;
+    std::size_t count(State state) const { return by_state_[static_cast<std::size_t>(state)]; }
+    const Digest& digest() const { return digest_; }
+    std::size_t rumours() const { return rumours_.size(); }  // still being told
     // Events since the last call, oldest first; at most 1024 are kept between calls.
     std::vector<Event> take_events();
-    // The whole view as records, self included: what a push carries.
+    // The whole view as records, self included.
     std::vector<Record> records() const;
     // The shortest and the longest suspicion for the view's size now.
     Time suspicion_floor() const;
@@ -173,9 +195,11 @@
         std::uint32_t asker_seq = 0;
         Time deadline{};
     };
-    struct Rumour {
-        Record record;
+    // Fewest told first, then the newest: the order in which rumours are piggybacked.
+    struct Rank {
         std::size_t told = 0;
+        std::uint64_t later = 0;  // counts down as rumours come in
+        auto operator<=>(const Rank&) const = default;
     };
 
     Message message(Message::Kind kind, std::uint32_t seq);
@@ -184,22 +208,32 @@
     void apply(Record record, Time now, bool from_push);
     void about_self(const Record& record);
     void set(Member& member, const Record& record, Time now);
+    void tally(const Record& record, bool in);
+    std::vector<Record> differing(const Digest& other) const;
     void event(Event::Kind kind, const Record& record);
     void end_probe(Time now, std::vector<Send>& out);
     void start_probe(Time now, std::vector<Send>& out);
-    void push_pull(Time now, std::vector<Send>& out);
+    void recheck(std::vector<Send>& out);
+    void push_pull(std::vector<Send>& out);
+    void soon(Time now);
+    Time within(Time span);  // drawn evenly from 0 to below it
     void raise_health() { health_ = std::min(health_ + 1, settings_.most_health); }
     void lower_health() { health_ = health_ > 0 ? health_ - 1 : 0; }
     Time stretched(Time span) const { return span * static_cast<Time::rep>(health_ + 1); }
     bool fits(const Record& record) const;
-    std::optional<std::string> pick(const std::vector<std::string>& from);
+    std::vector<const Member*> some(std::size_t n, const std::string& except);
 
     Record self_;
     Settings settings_;
     std::mt19937_64 dice_;
     std::vector<std::string> seeds_;
     std::map<std::string, Member> members_;
-    std::map<std::string, Rumour> rumours_;
+    std::set<std::string> waiting_;  // members with a deadline: suspect, dead, left
+    std::array<std::size_t, 4> by_state_{};
+    Digest digest_{};
+    std::map<Rank, Record> rumours_;
+    std::map<std::string, Rank> ranks_;  // where a member's rumour stands
+    std::uint64_t later_ = UINT64_MAX;
     std::vector<std::string> round_;  // SWIM's shuffled round of probe targets
     std::size_t next_ = 0;
     std::optional<Probe> probe_;
@@ -210,6 +244,9 @@
     Time last_call_;
     Time next_probe_;
     Time next_push_;
+    Time next_gossip_;
+    Time next_recheck_;
+    Time earliest_ = Time::max();  // no deadline of a waiting member is before it
     Counts counts_;
     std::vector<Event> events_;
 };
--- a/src/cluster/wire.cpp
+++ b/src/cluster/wire.cpp
@@ -7,11 +7,13 @@
 
 namespace {
 
+constexpr std::size_t kDigestBytes = (kBuckets + 1) * 8;
+
 // msgpack-cxx refuses, while it reads, any array, map or string over these: an oversize count in a small
 // datagram can't make it allocate.
 msgpack::unpack_limit limits(bool stream) {
     const std::size_t records = stream ? Message::kMostRecords : kMostDatagramRecords;
-    return msgpack::unpack_limit(records + 16, 0, kLongestAddress + 1, 0, 0, 4);
+    return msgpack::unpack_limit(records + 16, 0, kLongestAddress + 1, kDigestBytes, 0, 4);
 }
 
 struct Bad {
@@ -62,6 +64,16 @@
     return r;
 }
 
+std::optional<Digest> digest_of(const msgpack::object& o) {
+    if (o.type == msgpack::type::NIL) return std::nullopt;
+    if (o.type != msgpack::type::BIN || o.via.bin.size != kDigestBytes) throw Bad{Trouble::undecodable};
+    Digest out{};
+    for (std::size_t i = 0; i < kDigestBytes; ++i)
+        (i < 8 ? out.roster : out.buckets[i / 8 - 1]) |=
+            std::uint64_t{static_cast<unsigned char>(o.via.bin.ptr[i])} << (8 * (i % 8));
+    return out;
+}
+
 }  // namespace
 
 const char* name_of(Trouble trouble) {
@@ -77,7 +89,7 @@
 std::string encode(const Message& m) {
     msgpack::sbuffer buffer;
     msgpack::packer<msgpack::sbuffer> p{buffer};
-    p.pack_array(9);
+    p.pack_array(10);
     p.pack(kVersion);
     p.pack(static_cast<std::uint8_t>(m.kind));
     p.pack(m.from);
@@ -88,6 +100,18 @@
     p.pack(m.target_address);
     p.pack_array(static_cast<std::uint32_t>(m.records.size()));
     for (const auto& r : m.records) pack_record(p, r);
+    if (m.digest) {
+        std::string bytes;
+        const auto put = [&bytes](std::uint64_t word) {
+            for (int i = 0; i < 8; ++i) bytes += static_cast<char>(word >> (8 * i));
+        };
+        put(m.digest->roster);
+        for (const auto word : m.digest->buckets) put(word);
+        p.pack_bin(static_cast<std::uint32_t>(bytes.size()));
+        p.pack_bin_body(bytes.data(), static_cast<std::uint32_t>(bytes.size()));
+    } else {
+        p.pack_nil();
+    }
     return {buffer.data(), buffer.size()};
 }
 
@@ -101,10 +125,10 @@
         const msgpack::object& o = handle.get();
         if (o.type != msgpack::type::ARRAY || o.via.array.size < 1) return Trouble::undecodable;
         if (whole(at(o, 0)) != kVersion) return Trouble::other_version;
-        if (o.via.array.size != 9) return Trouble::undecodable;
+        if (o.via.array.size != 10) return Trouble::undecodable;
         Message m;
         const auto kind = whole(at(o, 1));
-        if (kind > static_cast<std::uint64_t>(Message::Kind::pull)) return Trouble::undecodable;
+        if (kind > static_cast<std::uint64_t>(Message::Kind::gossip)) return Trouble::undecodable;
         m.kind = static_cast<Message::Kind>(kind);
         m.from = text(at(o, 2), kLongestName);
         m.from_start = whole(at(o, 3));
@@ -121,6 +145,7 @@
         m.records.reserve(records.via.array.size);
         for (std::uint32_t i = 0; i < records.via.array.size; ++i)
             m.records.push_back(record_of(records.via.array.ptr[i]));
+        m.digest = digest_of(at(o, 9));
         return m;
     } catch (const Bad& bad) { return bad.trouble; } catch (const msgpack::size_overflow&) {
         return Trouble::out_of_bounds;
--- a/src/cluster/wire.h
+++ b/src/cluster/wire.h
@@ -1,10 +1,11 @@
 // The peers' messages as bytes, and back: MessagePack (msgpack-cxx), version 1. Pure: no I/O.
 //
 // A message is one array: [version, kind, from, from_start, from_address, seq, target, target_address,
-// records], and a record [name, address, zone, region, start, incarnation, state, by]. Strings are bounded as
-// members.h says, the records of a datagram by kMostDatagramRecords and of a stream by Message::kMostRecords.
-// A datagram is one message of at most kMostDatagram bytes; on a stream each message is preceded by its
-// length, four bytes big-endian, at most kMostFrame.
+// records, digest], the digest nil or (kBuckets + 1) * 8 bytes, little-endian; and a record [name, address,
+// zone, region, start, incarnation, state, by]. Strings are bounded as members.h says, the records of a
+// datagram by kMostDatagramRecords and of a stream by Message::kMostRecords. A datagram is one message of at
+// most kMostDatagram bytes; on a stream each message is preceded by its length, four bytes big-endian, at
+// most kMostFrame.
 #pragma once
 
 #include <cstdint>
--- a/src/lab/fleet.h
+++ b/src/lab/fleet.h
@@ -38,7 +38,9 @@
     Fleet(const Fleet&) = delete;
     Fleet& operator=(const Fleet&) = delete;
 
-    static std::string name(std::size_t i) { return "m" + std::to_string(i); }
+    // Appended, not "m" + ...: GCC 12 takes the insert at the front for an overlap (-Wrestrict, an error in
+    // CI).
+    static std::string name(std::size_t i) { return std::string{"m"}.append(std::to_string(i)); }
     void start(std::size_t i);  // also a restart: the same name and ports, a new process
     void signal(std::size_t i, int sig);
     void kill(std::size_t i);  // SIGKILL, and reaped
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,5 +1,6 @@
 // The command line. Without a sub-command the program serves, as deploy/balancer.toml starts it.
 #include "app/program.h"
+#include "cli/lab.h"
 #include "cli/trace.h"
 
 int main(int argc, char** argv) {
@@ -21,6 +22,7 @@
         },
         "the operator's file, instead of SILVERRAIL_SETTINGS");
     silverrail::cli::add_trace(line, code);
+    silverrail::cli::add_lab(line, code);
     try {
         line.parse(argc, argv);
     } catch (const CLI::ParseError& e) { return line.exit(e) == 0 ? 0 : 2; }
