--- a/src/app/peers_part.cpp
+++ b/src/app/peers_part.cpp
@@ -29,7 +29,7 @@
                static_cast<std::uint64_t>(unix_ms), settings_of(settings), seed, settings.seeds,
                cluster::Time{0}),
       peer_(
-          io, settings.bind, {}, [this](const cluster::Message& m) { return received(m); }, log),
+          io, settings.bind, {}, [this](const net::Peer::Message& m) { return received(m); }, log),
       timer_(io),
       // Often enough that a probe's timeout is kept to a tenth of it, seldom enough to cost nothing.
       every_(std::clamp<std::int64_t>(settings.probe_timeout_ms / 10, 5, 100)) {
@@ -51,21 +51,23 @@
 void PeersPart::stop() {
     if (stopped_) return;
     stopped_ = true;
-    peer_.send(members_.leave(now()));
+    peer_.send(net::Peer::sends(members_.leave(now())));
     timer_.cancel();
     peer_.stop();
     logged();
 }
 
-std::vector<cluster::Send> PeersPart::received(const cluster::Message& message) {
-    auto out = members_.receive(message, now());
+std::vector<net::Peer::Send> PeersPart::received(const net::Peer::Message& message) {
+    const auto* view = std::get_if<cluster::Message>(&message);
+    if (!view) return {};
+    auto out = net::Peer::sends(members_.receive(*view, now()));
     logged();
     return out;
 }
 
 void PeersPart::tick() {
     if (stopped_) return;
-    peer_.send(members_.tick(now()));
+    peer_.send(net::Peer::sends(members_.tick(now())));
     logged();
     timer_.expires_after(every_);
     timer_.async_wait([this](const net::error_code& error) {
--- a/src/app/peers_part.h
+++ b/src/app/peers_part.h
@@ -28,7 +28,7 @@
 private:
     void tick();
     void logged();
-    std::vector<cluster::Send> received(const cluster::Message& message);
+    std::vector<net::Peer::Send> received(const net::Peer::Message& message);
     cluster::Time now() const;
 
     net::asio::io_context& io_;
--- a/src/cli/lab.cpp
+++ b/src/cli/lab.cpp
@@ -5,6 +5,7 @@
 #include <memory>
 
 #include "lab/fleet_sim.h"
+#include "lab/replica_sim.h"
 
 namespace silverrail::cli {
 
@@ -46,12 +47,75 @@
     });
 }
 
+void add_replica(CLI::App& lab) {
+    auto* replica = lab.add_subcommand(
+        "replica", "the replicated state: load at rest, spreading, healing and catching up");
+    auto scale = std::make_shared<lab::ReplicaScale>();
+    replica->add_option("--members", scale->members, "how many members")->check(CLI::Range(2, 4000));
+    replica->add_option("--keys", scale->keys, "how many keys every copy holds")
+        ->check(CLI::Range(1, 19'000));
+    replica->add_option("--missed", scale->missed, "how many keys change on each side of a cut, or meanwhile")
+        ->check(CLI::Range(1, 900));
+    replica->add_option("--seed", scale->seed, "the same seed gives the same run");
+    replica->callback([scale] {
+        std::puts(
+            "members,keys,missed,seed,rest_bytes_per_s,spread_ms,heal_ms,heal_bytes_per_s,catch_up_ms,"
+            "catch_up_bytes,full_copies");
+        const auto f = lab::measure_replicas(*scale);
+        std::printf("%zu,%zu,%zu,%llu,%.0f,%lld,%lld,%.0f,%lld,%llu,%llu\n", scale->members, scale->keys,
+                    scale->missed, static_cast<unsigned long long>(scale->seed), f.rest_bytes_per_s,
+                    static_cast<long long>(f.spread_ms), static_cast<long long>(f.heal_ms),
+                    f.heal_bytes_per_s, static_cast<long long>(f.catch_up_ms),
+                    static_cast<unsigned long long>(f.catch_up_bytes),
+                    static_cast<unsigned long long>(f.full_copies));
+    });
+}
+
+void add_check(CLI::App& lab, int& code) {
+    auto* check = lab.add_subcommand(
+        "check", "the replicated state under seeded loss, reordering, cuts and crashes, seed after seed");
+    auto one = std::make_shared<lab::ReplicaCheck>();
+    auto seeds = std::make_shared<std::uint64_t>(1000);
+    check->add_option("--seed", one->seed, "the first seed");
+    check->add_option("--seeds", *seeds, "how many")->check(CLI::Range(1, 1'000'000));
+    check->add_option("--keep-ms", one->tombstone_keep, "how long tombstones are kept")
+        ->check(CLI::Range(1, 86400000));
+    check->add_flag("--learned", one->learned, "what is learned of boxes, not what is said by hand");
+    check->add_option("--members", one->members, "how many members")->check(CLI::Range(2, 50));
+    check->callback([one, seeds, &code] {
+        lab::ReplicaVerdict sum;
+        std::uint64_t wrong = 0;
+        const auto first = one->seed;
+        for (; one->seed < first + *seeds; ++one->seed) {
+            const auto v = lab::check_replicas(*one);
+            if (!v.wrong.empty() && ++wrong <= 10)
+                std::printf("seed %llu: %s\n", static_cast<unsigned long long>(one->seed), v.wrong.c_str());
+            sum.converged_ms = std::max(sum.converged_ms, v.converged_ms);
+            sum.changes += v.changes;
+            sum.crashes += v.crashes;
+            sum.full_copies += v.full_copies;
+            sum.forgotten += v.forgotten;
+        }
+        std::printf(
+            "%llu seeds, %llu wrong; %llu changes, %llu crashes, %llu full copies, %llu forgotten; "
+            "worst "
+            "time to converge %lld ms\n",
+            static_cast<unsigned long long>(*seeds), static_cast<unsigned long long>(wrong),
+            static_cast<unsigned long long>(sum.changes), static_cast<unsigned long long>(sum.crashes),
+            static_cast<unsigned long long>(sum.full_copies), static_cast<unsigned long long>(sum.forgotten),
+            static_cast<long long>(sum.converged_ms));
+        if (wrong > 0) code = 1;
+    });
+}
+
 }  // namespace
 
 void add_lab(CLI::App& app, int& code) {
     auto* lab = app.add_subcommand("lab", "experiments in simulated time; nothing is sent");
     lab->require_subcommand(1);
     add_fleet(*lab, code);
+    add_replica(*lab);
+    add_check(*lab, code);
 }
 
 }  // namespace silverrail::cli
--- a/src/cluster/members.cpp
+++ b/src/cluster/members.cpp
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <utility>
 
+#include "cluster/hash.h"
+
 namespace silverrail::cluster {
 
 const char* name_of(State state) {
@@ -66,16 +68,6 @@
 
 namespace {
 
-// FNV-1a, the same in every build and on every machine: members compare what they compute.
-std::uint64_t fnv(std::uint64_t h, std::string_view bytes) {
-    for (const unsigned char c : bytes) h = (h ^ c) * 1099511628211ULL;
-    return h;
-}
-std::uint64_t fnv(std::uint64_t h, std::uint64_t number) {
-    for (int i = 0; i < 8; ++i) h = (h ^ ((number >> (8 * i)) & 0xff)) * 1099511628211ULL;
-    return h;
-}
-constexpr std::uint64_t kBasis = 14695981039346656037ULL;
 // Views that hold different members, or so many at different incarnations (after a cut, when everybody
 // refutes) that datagrams alone would take long: worth exchanging again at once. A few refutes under way are
 // not.
@@ -85,7 +77,7 @@
     return a.roster != b.roster || differ > kBuckets / 2;
 }
 
-std::size_t bucket_of(const std::string& name) { return fnv(kBasis, name) % kBuckets; }
+std::size_t bucket_of(const std::string& name) { return fnv(kFnvBasis, name) % kBuckets; }
 
 }  // namespace
 
@@ -93,7 +85,7 @@
 void Members::tally(const Record& r, bool in) {
     by_state_[static_cast<std::size_t>(r.state)] += in ? 1 : std::size_t(-1);
     if (r.state == State::alive || r.state == State::suspect) {
-        const auto run = fnv(fnv(kBasis, r.who.name), r.start);
+        const auto run = fnv(fnv(kFnvBasis, r.who.name), r.start);
         digest_.roster ^= run;
         digest_.buckets[bucket_of(r.who.name)] ^= fnv(run, r.incarnation);
     }
--- a/src/cluster/wire.cpp
+++ b/src/cluster/wire.cpp
@@ -12,8 +12,11 @@
 // msgpack-cxx refuses, while it reads, any array, map or string over these: an oversize count in a small
 // datagram can't make it allocate.
 msgpack::unpack_limit limits(bool stream) {
+    static_assert(ReplicaMessage::kMostUpdates <= Message::kMostRecords &&
+                  ReplicaMessage::kMostNumbers <= Message::kMostRecords && kLongestKey >= kLongestAddress &&
+                  kLongestKey >= kLongestValue && kLongestKey >= kLongestOrigin);
     const std::size_t records = stream ? Message::kMostRecords : kMostDatagramRecords;
-    return msgpack::unpack_limit(records + 16, 0, kLongestAddress + 1, kDigestBytes, 0, 4);
+    return msgpack::unpack_limit(records + 16, 0, kLongestKey + 1, kDigestBytes, 0, 6);
 }
 
 struct Bad {
@@ -64,16 +67,122 @@
     return r;
 }
 
+// `words` numbers of eight bytes, little-endian.
+void pack_words(msgpack::packer<msgpack::sbuffer>& p, const std::uint64_t* words, std::size_t n) {
+    std::string bytes;
+    for (std::size_t w = 0; w < n; ++w)
+        for (int i = 0; i < 8; ++i) bytes += static_cast<char>(words[w] >> (8 * i));
+    p.pack_bin(static_cast<std::uint32_t>(bytes.size()));
+    p.pack_bin_body(bytes.data(), static_cast<std::uint32_t>(bytes.size()));
+}
+
+template <std::size_t N>
+std::array<std::uint64_t, N> words_of(const msgpack::object& o) {
+    if (o.type != msgpack::type::BIN || o.via.bin.size != N * 8) throw Bad{Trouble::undecodable};
+    std::array<std::uint64_t, N> out{};
+    for (std::size_t i = 0; i < N * 8; ++i)
+        out[i / 8] |= std::uint64_t{static_cast<unsigned char>(o.via.bin.ptr[i])} << (8 * (i % 8));
+    return out;
+}
+
 std::optional<Digest> digest_of(const msgpack::object& o) {
     if (o.type == msgpack::type::NIL) return std::nullopt;
-    if (o.type != msgpack::type::BIN || o.via.bin.size != kDigestBytes) throw Bad{Trouble::undecodable};
-    Digest out{};
-    for (std::size_t i = 0; i < kDigestBytes; ++i)
-        (i < 8 ? out.roster : out.buckets[i / 8 - 1]) |=
-            std::uint64_t{static_cast<unsigned char>(o.via.bin.ptr[i])} << (8 * (i % 8));
+    const auto words = words_of<kBuckets + 1>(o);
+    Digest out;
+    out.roster = words[0];
+    std::copy(words.begin() + 1, words.end(), out.buckets.begin());
     return out;
 }
 
+constexpr std::uint8_t kReplicaKinds = 32;
+
+bool yes(const msgpack::object& o) {
+    if (o.type != msgpack::type::BOOLEAN) throw Bad{Trouble::undecodable};
+    return o.via.boolean;
+}
+
+// The items of an array, at most `most`.
+template <class Take>
+void each(const msgpack::object& o, std::size_t most, Take take) {
+    if (o.type != msgpack::type::ARRAY) throw Bad{Trouble::undecodable};
+    if (o.via.array.size > most) throw Bad{Trouble::out_of_bounds};
+    for (std::uint32_t i = 0; i < o.via.array.size; ++i) take(o.via.array.ptr[i]);
+}
+
+void pack_numbers(msgpack::packer<msgpack::sbuffer>& p, const Numbers& numbers) {
+    p.pack_array(static_cast<std::uint32_t>(numbers.size()));
+    for (const auto& [origin, number] : numbers) {
+        p.pack_array(2);
+        p.pack(origin);
+        p.pack(number);
+    }
+}
+
+Numbers numbers_of(const msgpack::object& o) {
+    Numbers out;
+    each(o, ReplicaMessage::kMostNumbers, [&out](const msgpack::object& item) {
+        if (item.type != msgpack::type::ARRAY || item.via.array.size != 2) throw Bad{Trouble::undecodable};
+        out.emplace(text(at(item, 0), kLongestOrigin), whole(at(item, 1)));
+    });
+    return out;
+}
+
+void pack_update(msgpack::packer<msgpack::sbuffer>& p, const Update& u) {
+    p.pack_array(5);
+    p.pack(u.origin);
+    p.pack(u.number);
+    p.pack(u.key);
+    p.pack(u.entry.changed);
+    p.pack_array(static_cast<std::uint32_t>(u.entry.marks.size()));
+    for (const auto& [origin, mark] : u.entry.marks) {
+        p.pack_array(5);
+        p.pack(origin);
+        p.pack(mark.set);
+        p.pack(mark.cleared);
+        p.pack(mark.stamp);
+        p.pack(mark.value);
+    }
+}
+
+Update update_of(const msgpack::object& o) {
+    if (o.type != msgpack::type::ARRAY || o.via.array.size != 5) throw Bad{Trouble::undecodable};
+    Update u;
+    u.origin = text(at(o, 0), kLongestOrigin);
+    u.number = whole(at(o, 1));
+    u.key = text(at(o, 2), kLongestKey);
+    u.entry.changed = whole(at(o, 3));
+    each(at(o, 4), kMostMarks, [&u](const msgpack::object& item) {
+        if (item.type != msgpack::type::ARRAY || item.via.array.size != 5) throw Bad{Trouble::undecodable};
+        u.entry.marks.emplace(text(at(item, 0), kLongestOrigin),
+                              Mark{whole(at(item, 1)), whole(at(item, 2)), whole(at(item, 3)),
+                                   text(at(item, 4), kLongestValue)});
+    });
+    return u;
+}
+
+ReplicaMessage replica_of(const msgpack::object& o, bool stream) {
+    if (o.via.array.size != 13) throw Bad{Trouble::undecodable};
+    ReplicaMessage m;
+    const auto kind = whole(at(o, 1)) - kReplicaKinds;
+    if (kind > static_cast<std::uint64_t>(ReplicaMessage::Kind::page)) throw Bad{Trouble::undecodable};
+    m.kind = static_cast<ReplicaMessage::Kind>(kind);
+    const auto channel = whole(at(o, 2));
+    if (channel > 255) throw Bad{Trouble::out_of_bounds};
+    m.channel = static_cast<std::uint8_t>(channel);
+    m.from = text(at(o, 3), kLongestName);
+    m.from_address = text(at(o, 4), kLongestAddress);
+    if (at(o, 5).type != msgpack::type::NIL) m.summary = words_of<kBuckets>(at(o, 5));
+    m.mask = whole(at(o, 6));
+    m.numbers = numbers_of(at(o, 7));
+    each(at(o, 8), stream ? ReplicaMessage::kMostUpdates : kMostDatagramRecords,
+         [&m](const msgpack::object& item) { m.updates.push_back(update_of(item)); });
+    m.after = numbers_of(at(o, 9));
+    m.cursor = text(at(o, 10), kLongestKey);
+    m.too_old = yes(at(o, 11));
+    m.last = yes(at(o, 12));
+    return m;
+}
+
 }  // namespace
 
 const char* name_of(Trouble trouble) {
@@ -101,21 +210,40 @@
     p.pack_array(static_cast<std::uint32_t>(m.records.size()));
     for (const auto& r : m.records) pack_record(p, r);
     if (m.digest) {
-        std::string bytes;
-        const auto put = [&bytes](std::uint64_t word) {
-            for (int i = 0; i < 8; ++i) bytes += static_cast<char>(word >> (8 * i));
-        };
-        put(m.digest->roster);
-        for (const auto word : m.digest->buckets) put(word);
-        p.pack_bin(static_cast<std::uint32_t>(bytes.size()));
-        p.pack_bin_body(bytes.data(), static_cast<std::uint32_t>(bytes.size()));
+        std::array<std::uint64_t, kBuckets + 1> words{m.digest->roster};
+        std::copy(m.digest->buckets.begin(), m.digest->buckets.end(), words.begin() + 1);
+        pack_words(p, words.data(), words.size());
     } else {
         p.pack_nil();
     }
     return {buffer.data(), buffer.size()};
 }
 
-std::variant<Message, Trouble> decode(std::string_view bytes, bool stream) {
+std::string encode(const ReplicaMessage& m) {
+    msgpack::sbuffer buffer;
+    msgpack::packer<msgpack::sbuffer> p{buffer};
+    p.pack_array(13);
+    p.pack(kVersion);
+    p.pack(static_cast<std::uint8_t>(kReplicaKinds + static_cast<std::uint8_t>(m.kind)));
+    p.pack(m.channel);
+    p.pack(m.from);
+    p.pack(m.from_address);
+    if (m.kind == ReplicaMessage::Kind::sum)
+        pack_words(p, m.summary.data(), m.summary.size());
+    else
+        p.pack_nil();
+    p.pack(m.mask);
+    pack_numbers(p, m.numbers);
+    p.pack_array(static_cast<std::uint32_t>(m.updates.size()));
+    for (const auto& u : m.updates) pack_update(p, u);
+    pack_numbers(p, m.after);
+    p.pack(m.cursor);
+    p.pack(m.too_old);
+    p.pack(m.last);
+    return {buffer.data(), buffer.size()};
+}
+
+std::variant<Message, ReplicaMessage, Trouble> decode(std::string_view bytes, bool stream) {
     if (bytes.size() > (stream ? kMostFrame : kMostDatagram)) return Trouble::oversize;
     try {
         std::size_t offset = 0;
@@ -125,9 +253,10 @@
         const msgpack::object& o = handle.get();
         if (o.type != msgpack::type::ARRAY || o.via.array.size < 1) return Trouble::undecodable;
         if (whole(at(o, 0)) != kVersion) return Trouble::other_version;
+        const auto kind = whole(at(o, 1));
+        if (kind >= kReplicaKinds) return replica_of(o, stream);
         if (o.via.array.size != 10) return Trouble::undecodable;
         Message m;
-        const auto kind = whole(at(o, 1));
         if (kind > static_cast<std::uint64_t>(Message::Kind::gossip)) return Trouble::undecodable;
         m.kind = static_cast<Message::Kind>(kind);
         m.from = text(at(o, 2), kLongestName);
--- a/src/cluster/wire.h
+++ b/src/cluster/wire.h
@@ -6,6 +6,11 @@
 // datagram by kMostDatagramRecords and of a stream by Message::kMostRecords. A datagram is one message of at
 // most kMostDatagram bytes; on a stream each message is preceded by its length, four bytes big-endian, at
 // most kMostFrame.
+//
+// A message of the replicated state is [version, 32 + kind, channel, from, from_address, summary, mask,
+// numbers, updates, after, cursor, too_old, last], its summary nil or kBuckets * 8 bytes, numbers and after
+// [[origin, number], ...], an update [origin, number, key, changed, marks], a mark [origin, set, cleared,
+// stamp, value].
 #pragma once
 
 #include <cstdint>
@@ -14,6 +19,7 @@
 #include <variant>
 
 #include "cluster/members.h"
+#include "cluster/replica.h"
 
 namespace silverrail::cluster::wire {
 
@@ -28,7 +34,8 @@
 
 // `stream`: the bounds of a push or pull, else those of a datagram.
 std::string encode(const Message& message);
-std::variant<Message, Trouble> decode(std::string_view bytes, bool stream);
+std::string encode(const ReplicaMessage& message);
+std::variant<Message, ReplicaMessage, Trouble> decode(std::string_view bytes, bool stream);
 
 // A frame's four bytes of length; the length is checked against kMostFrame by the reader.
 std::string frame_header(std::size_t length);
--- a/src/net/peer.cpp
+++ b/src/net/peer.cpp
@@ -33,6 +33,10 @@
     return *at;
 }
 
+std::string encoded(const Peer::Message& message) {
+    return std::visit([](const auto& m) { return cw::encode(m); }, message);
+}
+
 }  // namespace
 
 Peer::Peer(asio::io_context& io, const std::string& bind, PeerLimits limits, Handler handler, Log& log)
@@ -65,44 +69,55 @@
     log_.line("peer-refused", "%s", cw::name_of(trouble));
 }
 
+std::optional<Peer::Message> Peer::taken(std::string_view bytes, bool stream) {
+    auto decoded = cw::decode(bytes, stream);
+    if (auto* m = std::get_if<cluster::Message>(&decoded)) return std::move(*m);
+    if (auto* m = std::get_if<cluster::ReplicaMessage>(&decoded)) return std::move(*m);
+    refused(std::get<cw::Trouble>(decoded));
+    return std::nullopt;
+}
+
 void Peer::receive() {
     udp_.async_receive_from(asio::buffer(datagram_), sender_, [this](const error_code& error, std::size_t n) {
         if (error == asio::error::operation_aborted || stopped_) return;
         if (!error) {
             ++counts_.datagrams_in;
             counts_.bytes_in += n;
-            const auto decoded = cw::decode({datagram_.data(), n}, false);
-            if (const auto* trouble = std::get_if<cw::Trouble>(&decoded))
-                refused(*trouble);
-            else
-                send(handler_(std::get<cluster::Message>(decoded)));
+            if (const auto message = taken({datagram_.data(), n}, false)) send(handler_(*message));
         }
         receive();
     });
 }
 
-void Peer::send(std::vector<cluster::Send> sends) {
+void Peer::send(std::vector<Send> sends) {
     for (const auto& s : sends) {
         if (stopped_) return;
-        if (s.stream())
+        if (s.stream)
             open_stream(s);
         else
             send_datagram(s);
     }
 }
 
-void Peer::send_datagram(const cluster::Send& s) {
+void Peer::send_datagram(const Send& s) {
     const auto to = endpoint_of(s.address);
     if (!to) {
         ++counts_.unsendable;
         return;
     }
     // Gossip rides along where there is room: records are let go from the end until the datagram fits.
-    cluster::Message m = s.message;
-    std::string bytes = cw::encode(m);
-    while (bytes.size() > cw::kMostDatagram && !m.records.empty()) {
-        m.records.pop_back();
-        bytes = cw::encode(m);
+    std::string bytes = encoded(s.message);
+    if (const auto* view = std::get_if<cluster::Message>(&s.message);
+        view && bytes.size() > cw::kMostDatagram) {
+        cluster::Message m = *view;
+        while (bytes.size() > cw::kMostDatagram && !m.records.empty()) {
+            m.records.pop_back();
+            bytes = cw::encode(m);
+        }
+    }
+    if (bytes.size() > cw::kMostDatagram) {
+        ++counts_.unsendable;  // an entry with many marks: the rounds bring it
+        return;
     }
     error_code error;
     udp_.send_to(asio::buffer(bytes), *to, 0, error);  // a full buffer loses a datagram, as a network would
@@ -114,7 +129,7 @@
     counts_.bytes_out += bytes.size();
 }
 
-void Peer::open_stream(const cluster::Send& s) {
+void Peer::open_stream(const Send& s) {
     const auto to = endpoint_of(s.address);
     if (!to || out_.size() >= limits_.streams) {
         ++counts_.unsendable;
@@ -123,7 +138,7 @@
     auto stream = std::make_shared<Stream>(io_);
     out_.insert(stream);
     ++counts_.streams_out;
-    const auto body = cw::encode(s.message);
+    const auto body = encoded(s.message);
     stream->out = cw::frame_header(body.size()) + body;
     stream->timer.expires_after(limits_.stream_time);
     stream->timer.async_wait([this, stream](const error_code& error) {
@@ -195,28 +210,25 @@
 }
 
 void Peer::on_frame(const std::shared_ptr<Stream>& stream, bool incoming) {
-    const auto decoded = cw::decode(stream->body, true);
-    if (const auto* trouble = std::get_if<cw::Trouble>(&decoded)) {
-        refused(*trouble);
-        return close(stream);
-    }
-    auto sends = handler_(std::get<cluster::Message>(decoded));
+    const auto message = taken(stream->body, true);
+    if (!message) return close(stream);
+    auto sends = handler_(*message);
     if (!incoming) {
         close(stream);
         return send(std::move(sends));
     }
-    // The answer to a push goes back on its own stream; anything else the usual way.
-    std::vector<cluster::Send> rest;
-    std::optional<cluster::Send> answer;
+    // The answer goes back on the stream that asked; anything else the usual way.
+    std::vector<Send> rest;
+    std::optional<Send> answer;
     for (auto& s : sends) {
-        if (!answer && s.message.kind == cluster::Message::Kind::pull)
+        if (!answer && s.stream)
             answer = std::move(s);
         else
             rest.push_back(std::move(s));
     }
     send(std::move(rest));
     if (!answer) return close(stream);
-    const auto body = cw::encode(answer->message);
+    const auto body = encoded(answer->message);
     stream->out = cw::frame_header(body.size()) + body;
     asio::async_write(stream->socket, asio::buffer(stream->out),
                       [this, stream](const error_code&, std::size_t n) {
--- a/src/net/peer.h
+++ b/src/net/peer.h
@@ -32,15 +32,33 @@
 
 class Peer {
 public:
-    // What a message that came in asks to send; `stream` answers of a push go back on its own stream.
-    using Handler = std::function<std::vector<cluster::Send>(const cluster::Message&)>;
+    using Message = std::variant<cluster::Message, cluster::ReplicaMessage>;
+    struct Send {
+        std::string address;
+        Message message;
+        bool stream = false;
+    };
+    // What the state machines ask to send, as the transport takes it.
+    template <class From>
+    static std::vector<Send> sends(std::vector<From> from) {
+        std::vector<Send> out;
+        out.reserve(from.size());
+        for (auto& s : from) {
+            const bool stream = s.stream();
+            out.push_back({std::move(s.address), std::move(s.message), stream});
+        }
+        return out;
+    }
+    // What a message that came in asks to send. The first stream answer to one that came by a stream goes
+    // back on it.
+    using Handler = std::function<std::vector<Send>(const Message&)>;
 
     // Binds at once, datagrams and stream on the same port; throws boost::system::system_error if it cannot.
     Peer(asio::io_context& io, const std::string& bind, PeerLimits limits, Handler handler, Log& log);
     ~Peer();
     void start();
     void stop();
-    void send(std::vector<cluster::Send> sends);
+    void send(std::vector<Send> sends);
     udp::endpoint local() const { return udp_.local_endpoint(); }
     const PeerCounts& counts() const { return counts_; }
 
@@ -52,8 +70,10 @@
     void receive();
     void accept();
     void refused(cluster::wire::Trouble trouble);
-    void send_datagram(const cluster::Send& send);
-    void open_stream(const cluster::Send& send);
+    // The message in the bytes; empty: refused, and counted.
+    std::optional<Message> taken(std::string_view bytes, bool stream);
+    void send_datagram(const Send& send);
+    void open_stream(const Send& send);
     void read_frame(const std::shared_ptr<Stream>& stream, bool incoming);
     void on_frame(const std::shared_ptr<Stream>& stream, bool incoming);
     void close(const std::shared_ptr<Stream>& stream);
--- a/tests/cluster/wire_test.cpp
+++ b/tests/cluster/wire_test.cpp
@@ -30,6 +30,29 @@
     return m;
 }
 
+ReplicaMessage replica_sample(ReplicaMessage::Kind kind) {
+    ReplicaMessage m;
+    m.kind = kind;
+    m.channel = 1;
+    m.from = "r-17";
+    m.from_address = "127.0.0.17:7946";
+    if (kind == ReplicaMessage::Kind::sum)
+        for (std::size_t i = 0; i < kBuckets; ++i) m.summary[i] = 0x0123456789abcdefULL * (i + 1);
+    m.mask = 0xfedcba9876543210ULL;
+    m.numbers = {{"a@1", 3}, {"b@2", 70'000}};
+    m.after = {{"a@1", 2}};
+    m.cursor = "ban/x";
+    m.too_old = true;
+    m.last = false;
+    for (std::uint64_t i = 1; i < 4; ++i)
+        m.updates.push_back({"a@1",
+                             i,
+                             std::string{"ban/"}.append(std::to_string(i)),
+                             {{{"a@1", {i, 0, 1'800'000'000'000 << 16, "v"}}, {"b@2", {7, 7, 0, ""}}},
+                              1'800'000'000'001 << 16}});
+    return m;
+}
+
 bool refused_as(const std::string& bytes, bool stream, wire::Trouble trouble) {
     const auto got = wire::decode(bytes, stream);
     const auto* t = std::get_if<wire::Trouble>(&got);
@@ -54,6 +77,36 @@
     CHECK(bytes.size() > wire::kMostDatagram && bytes.size() < wire::kMostFrame);
     CHECK(std::get<Message>(wire::decode(bytes, true)) == view);
     CHECK(refused_as(bytes, false, wire::Trouble::oversize));
+    for (std::uint8_t k = 0; k <= static_cast<std::uint8_t>(ReplicaMessage::Kind::page); ++k) {
+        const auto m = replica_sample(static_cast<ReplicaMessage::Kind>(k));
+        CHECK(std::get<ReplicaMessage>(wire::decode(wire::encode(m), true)) == m);
+        const auto encoded = wire::encode(m);
+        for (std::size_t cut = 0; cut < encoded.size(); ++cut)
+            CHECK(std::holds_alternative<wire::Trouble>(wire::decode(encoded.substr(0, cut), true)));
+        for (std::size_t at = 0; at < encoded.size(); ++at)
+            for (int bit = 0; bit < 8; ++bit) {
+                std::string b = encoded;
+                b[at] = static_cast<char>(b[at] ^ (1 << bit));
+                const auto got = wire::decode(b, true);
+                if (const auto* r = std::get_if<ReplicaMessage>(&got))
+                    CHECK(r->updates.size() <= 3 && r->cursor.size() <= kLongestKey);
+            }
+    }
+    // Over the bounds of a datagram, of a key, of a value, of an entry's marks.
+    auto big = replica_sample(ReplicaMessage::Kind::news);
+    while (big.updates.size() <= wire::kMostDatagramRecords) big.updates.push_back(big.updates.front());
+    CHECK(refused_as(wire::encode(big), false, wire::Trouble::out_of_bounds) ||
+          refused_as(wire::encode(big), false, wire::Trouble::oversize));
+    big = replica_sample(ReplicaMessage::Kind::give);
+    big.updates[0].key = std::string(kLongestKey + 1, 'k');
+    CHECK(refused_as(wire::encode(big), true, wire::Trouble::out_of_bounds));
+    big = replica_sample(ReplicaMessage::Kind::give);
+    big.updates[0].entry.marks.begin()->second.value = std::string(kLongestValue + 1, 'v');
+    CHECK(refused_as(wire::encode(big), true, wire::Trouble::out_of_bounds));
+    big = replica_sample(ReplicaMessage::Kind::give);
+    for (std::size_t i = 0; i <= kMostMarks; ++i)
+        big.updates[0].entry.marks[std::string{"o"}.append(std::to_string(i))] = {1, 0, 1, ""};
+    CHECK(refused_as(wire::encode(big), true, wire::Trouble::out_of_bounds));
     const unsigned char header[4] = {0x00, 0x01, 0x02, 0x03};
     CHECK(wire::frame_length(header) == 0x010203u);
     const auto h = wire::frame_header(0x0a0b0c0d);
