Share bans by hand over the fleet: kept in SQLite before they are acknowledged, REPLICA

OFFLINE and ONLINE on any router's control address hold on all; a restart resumes from its store and asks for the rest. src/store/replica_store writes each change in one commit before it is told (SQLite: a damaged file is an error there, where a mapped one ends in SIGBUS); a store that is damaged or not ours is set aside by name. src/app/replica_part carries the state over the peers' transport; off without a peers section.

Eight processes: a ban on all within 2 s and over a kill of all eight; a member away 30 s fetches what it missed and no more; both sides of a cut ban and unban, one state after healing; a damaged store; stale, future, malformed and oversize updates counted, none applied.

--- a/src/app/bans_part.cpp
+++ b/src/app/bans_part.cpp
@@ -4,10 +4,13 @@
 
 namespace {
 constexpr std::chrono::milliseconds kLook{200};
-}
+const std::string kKey = "ban/";  // then the box's id
+}  // namespace
 
-BansPart::BansPart(net::asio::io_context& io, core::Engine& engine, const std::string& file, Log& log)
-    : engine_(engine), log_(log), timer_(io) {
+BansPart::BansPart(net::asio::io_context& io, core::Engine& engine, const std::string& file, Log& log,
+                   ReplicaPart* fleet)
+    : engine_(engine), log_(log), timer_(io), fleet_(fleet) {
+    if (fleet_) fleet_->follow([this](const std::set<std::string>& keys) { heard(keys); });
     if (file.empty()) {
         log_.line("bans", "TMPDIR is not set: they are kept in this process only");
         return;
@@ -19,6 +22,33 @@
 
 void BansPart::start() {
     if (file_) look();
+    // Said before there was a fleet to tell. With a store of its own the fleet's word is the later one.
+    if (fleet_ && fleet_->fresh())
+        for (const auto& box : engine_.bans().ids()) (void)fleet_->set(kKey + box.address, {});
+}
+
+// Guards rule 3 over the fleet: a box that is out anywhere is out here, and back here when it is back.
+void BansPart::heard(const std::set<std::string>& keys) {
+    members::Bans before = engine_.bans();
+    const auto apply = [&](members::Bans& bans) {
+        for (const auto& key : keys) {
+            if (!key.starts_with(kKey)) continue;
+            const core::CacheId box{key.substr(kKey.size())};
+            if (!fleet_->in_force(key))
+                bans.remove(box);
+            else if (!bans.add(box))
+                log_.line("bans", "the fleet's ban of %s has no room here", box.address.c_str());
+        }
+    };
+    members::Bans own = before;
+    apply(own);
+    if (own == before) return;
+    // In force at once; kept for the router's other processes where that is possible.
+    engine_.set_bans(own);
+    log_.line("bans-heard", R"({"out":%zu,"before":%zu})", own.ids().size(), before.ids().size());
+    if (file_) try {
+            engine_.set_bans(file_->change(own, apply));
+        } catch (const std::exception& e) { log_.line("bans", "%s", e.what()); }
 }
 
 // Guards rule 3 over an upgrade: a call to the one process binds the other within the grace.
@@ -47,7 +77,9 @@
     if (!own.add(box)) return {false, "too many are out"};
     engine_.set_bans(own);
     log_.line("box-out", "%s by hand, %zu are out", box.address.c_str(), own.ids().size());
-    if (!file_) return {true, "out, in this process only"};
+    if (fleet_ && !fleet_->set(kKey + box.address, {}))
+        return {false, "out here, but not kept for the fleet"};
+    if (!file_) return {true, fleet_ ? "out" : "out, in this process only"};
     try {
         engine_.set_bans(file_->change(own, [&](members::Bans& bans) { bans.add(box); }));
     } catch (const std::exception& e) {
@@ -68,6 +100,8 @@
             return {false, std::string{"nothing was changed: "} + e.what()};
         }
     engine_.set_bans(own);
+    if (fleet_ && !fleet_->clear(kKey + box.address))
+        return {false, "in use here, but not kept for the fleet"};
     log_.line("box-back", "%s by hand, %zu are out", box.address.c_str(), own.ids().size());
     return {true, "in use"};
 }
--- a/src/app/bans_part.h
+++ b/src/app/bans_part.h
@@ -5,6 +5,7 @@
 #include <optional>
 
 #include "app/part.h"
+#include "app/replica_part.h"
 #include "core/engine.h"
 #include "front/admin/admin.h"
 #include "net/asio.h"
@@ -14,22 +15,29 @@
 
 class BansPart : public Part, public front::admin::Hands {
 public:
-    // `file` empty: kept in this process only. What the file holds is in force from here on.
-    BansPart(net::asio::io_context& io, core::Engine& engine, const std::string& file, Log& log);
+    // `file` empty: kept in this process only. What the file holds is in force from here on. `fleet`, where
+    // the router has peers: what is said here is said to all of them, and what they say holds here.
+    BansPart(net::asio::io_context& io, core::Engine& engine, const std::string& file, Log& log,
+             ReplicaPart* fleet = nullptr);
     void start() override;
     void stop() override {}
+    std::string counters() override {
+        return "bans.out " + std::to_string(engine_.bans().ids().size()) + "\n";
+    }
     front::admin::Verdict out(const core::CacheId& box) override;
     front::admin::Verdict back(const core::CacheId& box) override;
 
 private:
     void look();
     void read();
+    void heard(const std::set<std::string>& keys);
     bool known(const core::CacheId& box) const;  // listed, or out
 
     core::Engine& engine_;
     Log& log_;
     net::asio::steady_timer timer_;
     std::optional<store::BanFile> file_;
+    ReplicaPart* fleet_;
 };
 
 }  // namespace silverrail::app
--- a/src/app/control_part.h
+++ b/src/app/control_part.h
@@ -20,6 +20,7 @@
         Log& log;
         std::function<void()> shed;              // frees descriptors
         std::function<std::string()> members{};  // MEMBERS; empty without peers
+        std::function<std::string()> replica{};  // REPLICA; the same
     };
     // Listens at once, as an address that is taken must stop the start; throws config::ConfigError.
     ControlPart(World world, const std::string& at, std::size_t most_callers);
--- a/src/app/peers_part.cpp
+++ b/src/app/peers_part.cpp
@@ -59,7 +59,9 @@
 
 std::vector<net::Peer::Send> PeersPart::received(const net::Peer::Message& message) {
     const auto* view = std::get_if<cluster::Message>(&message);
-    if (!view) return {};
+    if (!view)
+        return replica_ ? replica_(std::get<cluster::ReplicaMessage>(message))
+                        : std::vector<net::Peer::Send>{};
     auto out = net::Peer::sends(members_.receive(*view, now()));
     logged();
     return out;
@@ -85,6 +87,13 @@
     }
 }
 
+std::vector<std::string> PeersPart::alive() const {
+    std::vector<std::string> out;
+    for (const auto& [name, member] : members_.view())
+        if (member.record.state == cluster::State::alive) out.push_back(member.record.who.address);
+    return out;
+}
+
 std::string PeersPart::members() const {
     std::string out;
     for (const auto& r : members_.records())
--- a/src/app/peers_part.h
+++ b/src/app/peers_part.h
@@ -25,6 +25,13 @@
     // region; then "--".
     std::string members() const;
 
+    // What else rides on the peers' transport: the replicated state's messages, and who they can go to.
+    void replicate(std::function<std::vector<net::Peer::Send>(const cluster::ReplicaMessage&)> handler) {
+        replica_ = std::move(handler);
+    }
+    void send(std::vector<net::Peer::Send> sends) { peer_.send(std::move(sends)); }
+    std::vector<std::string> alive() const;
+
 private:
     void tick();
     void logged();
@@ -39,6 +46,7 @@
     std::chrono::milliseconds every_;
     std::chrono::steady_clock::time_point began_ = std::chrono::steady_clock::now();
     bool stopped_ = false;
+    std::function<std::vector<net::Peer::Send>(const cluster::ReplicaMessage&)> replica_;
 };
 
 }  // namespace silverrail::app
--- a/src/app/program.cpp
+++ b/src/app/program.cpp
@@ -13,6 +13,7 @@
 #include "app/endpoint.h"
 #include "app/overlap.h"
 #include "app/peers_part.h"
+#include "app/replica_part.h"
 #include "app/trace_part.h"
 #include "config/operator.h"
 #include "core/engine.h"
@@ -117,21 +118,31 @@
                                             settings_.trace));
         }
         PeersPart* peers = nullptr;
+        ReplicaPart* replica = nullptr;
         if (settings_.peers.on()) {
             auto part =
                 std::make_unique<PeersPart>(io_, settings_.peers, config_.seed, clock_.unix_ms(), log_);
             peers = part.get();
             parts_.push_back(std::move(part));
+            auto shared =
+                std::make_unique<ReplicaPart>(ReplicaPart::World{io_, *peers, clock_, log_}, settings_.peers,
+                                              kept_file(sources_, config_, "replica"), config_.seed);
+            replica = shared.get();
+            parts_.push_back(std::move(shared));
         }
         if (!config_.control.empty()) {
             // Before the first list: what is out is out from the first request on.
-            auto bans = std::make_unique<BansPart>(io_, engine_, kept_file(sources_, config_, "bans"), log_);
+            auto bans =
+                std::make_unique<BansPart>(io_, engine_, kept_file(sources_, config_, "bans"), log_, replica);
             front::admin::Hands& hands = *bans;
             parts_.push_back(std::move(bans));
             parts_.push_back(std::make_unique<ControlPart>(
                 ControlPart::World{io_, engine_, hands, lifecycle_, log_, [this] { upstream_.shed(32); },
                                    peers ? std::function<std::string()>{[peers] { return peers->members(); }}
-                                         : std::function<std::string()>{}},
+                                         : std::function<std::string()>{},
+                                   replica
+                                       ? std::function<std::string()>{[replica] { return replica->digest(); }}
+                                       : std::function<std::string()>{}},
                 config_.control, shares_.callers));
         }
         if (settings_.dns.on())
--- /dev/null
+++ b/src/app/replica_part.cpp
@@ -0,0 +1,158 @@
+#include "app/replica_part.h"
+
+#include <filesystem>
+
+namespace silverrail::app {
+
+namespace {
+
+constexpr std::chrono::milliseconds kTick{50};
+
+cluster::ReplicaSettings settings_of(const config::PeersSettings& p) {
+    cluster::ReplicaSettings s;
+    s.interval = std::chrono::milliseconds{p.replica_ms};
+    s.tombstone_keep = p.tombstone_keep_ms;
+    return s;
+}
+
+}  // namespace
+
+std::unique_ptr<store::ReplicaStore> ReplicaPart::open(const std::string& file, const std::string& origin,
+                                                       Log& log) {
+    if (file.empty()) {
+        log.line("replica", R"({"store":"none","why":"TMPDIR is not set"})");
+        return nullptr;
+    }
+    try {
+        auto store = std::make_unique<store::ReplicaStore>(file, origin);
+        (void)store->entries();
+        (void)store->origins();
+        return store;
+    } catch (const store::ReplicaStore::Held& e) {
+        log.line("replica", R"({"store":"none","why":"%s"})", e.what());
+        return nullptr;
+    } catch (const std::exception& e) {
+        // Nothing of it is believed; the peers have what it held. Kept aside for whoever looks into it.
+        log.line("replica-refused", R"({"why":"%s","aside":"%s.refused"})", e.what(), file.c_str());
+        std::error_code ignored;
+        std::filesystem::rename(file, file + ".refused", ignored);
+        std::filesystem::remove(file + "-wal", ignored);
+    }
+    try {
+        return std::make_unique<store::ReplicaStore>(file, origin);
+    } catch (const std::exception& e) {
+        log.line("replica-refused", R"({"why":"%s"})", e.what());
+        return nullptr;
+    }
+}
+
+// An origin is a name and the time at which it was first used: whoever lost its store is another origin, so
+// that a number stands for one change only.
+ReplicaPart::ReplicaPart(World world, const config::PeersSettings& settings, const std::string& file,
+                         std::uint64_t seed)
+    : world_(world),
+      own_origin_(settings.name + "@" + std::to_string(world.clock.unix_ms())),
+      store_(open(file, own_origin_, world.log)),
+      replica_(settings.name, settings.advertise.empty() ? settings.bind : settings.advertise,
+               store_ ? store_->origin() : own_origin_, settings_of(settings), seed ^ 0x9e3779b97f4a7c15ULL,
+               cluster::Time{0}),
+      timer_(world.io) {
+    if (store_) {
+        fresh_ = store_->origin() == own_origin_;
+        replica_.restore(store_->entries(), store_->origins());
+    }
+    world_.peers.replicate([this](const cluster::ReplicaMessage& message) {
+        auto out = net::Peer::sends(replica_.receive(message, now(), world_.clock.unix_ms()));
+        // What is not kept is not acknowledged either: the others ask again.
+        if (!keep()) out.clear();
+        return out;
+    });
+}
+
+cluster::Time ReplicaPart::now() const {
+    return std::chrono::duration_cast<cluster::Time>(std::chrono::steady_clock::now() - began_);
+}
+
+void ReplicaPart::start() {
+    world_.log.line("replica-start", R"({"origin":"%s","keys":%zu,"kept":%s})", replica_.origin().c_str(),
+                    replica_.entries().size(), store_ ? "true" : "false");
+    tick();
+}
+
+// Writes down what has changed and tells who follows. False: it could not be written; the store is given up,
+// as what it holds from here on would have gaps.
+bool ReplicaPart::keep() {
+    const auto changes = replica_.take_changes();
+    bool kept = true;
+    if (store_) try {
+            store_->write(replica_, changes);
+        } catch (const std::exception& e) {
+            ++failed_writes_;
+            kept = false;
+            store_.reset();
+            world_.log.line("replica-unkept", R"({"why":"%s"})", e.what());
+        }
+    const auto touched = replica_.take_touched();
+    if (!touched.empty() && touched_) touched_(touched);
+    return kept;
+}
+
+void ReplicaPart::tick() {
+    auto sends = net::Peer::sends(replica_.tick(now(), world_.clock.unix_ms(), world_.peers.alive()));
+    if (keep()) world_.peers.send(std::move(sends));
+    timer_.expires_after(kTick);
+    timer_.async_wait([this](const net::error_code& error) {
+        if (!error) tick();
+    });
+}
+
+bool ReplicaPart::set(const std::string& key, const std::string& value) {
+    const bool done = replica_.set(key, value, world_.clock.unix_ms());
+    return keep() && done;
+}
+
+bool ReplicaPart::clear(const std::string& key) {
+    const bool done = replica_.clear(key, world_.clock.unix_ms());
+    return keep() && done;
+}
+
+std::string ReplicaPart::digest() const {
+    auto numbers = replica_.numbers();
+    for (const auto& [origin, number] : replica_.heard()) numbers.try_emplace(origin, 0);
+    std::string out;
+    for (const auto& [origin, number] : numbers) {
+        const auto heard = replica_.heard().find(origin);
+        const auto newest = heard == replica_.heard().end() ? number : std::max(number, heard->second);
+        out += origin + " " + std::to_string(number) + " " + std::to_string(newest) + " " +
+               std::to_string(newest - number) + "\n";
+    }
+    return out + "--\n";
+}
+
+std::string ReplicaPart::counters() {
+    const auto& c = replica_.counts();
+    std::string out;
+    const auto put = [&out](const char* name, std::uint64_t value) {
+        out += std::string{"replica."}.append(name) + " " + std::to_string(value) + "\n";
+    };
+    put("keys", replica_.entries().size());
+    put("origins", replica_.origins().size());
+    put("applied", c.applied);
+    put("duplicates", c.duplicates);
+    put("ahead", c.ahead);
+    put("refused", c.refused);
+    put("rounds", c.rounds);
+    put("updates_sent", c.sent);
+    put("full_copies", c.full_copies);
+    put("forgotten", c.forgotten);
+    put("failed_writes", failed_writes_);
+    std::uint64_t lag = 0;
+    for (const auto& [origin, number] : replica_.heard()) {
+        const auto held = replica_.origins().find(origin);
+        lag += number - std::min(number, held == replica_.origins().end() ? 0 : held->second.number);
+    }
+    put("lag", lag);
+    return out;
+}
+
+}  // namespace silverrail::app
--- /dev/null
+++ b/src/app/replica_part.h
@@ -0,0 +1,62 @@
+// The replicated state in the running program: the state machine of src/cluster/replica over the peers'
+// transport, written to its store before anything of it goes out. Made only where the settings have a `peers`
+// section.
+#pragma once
+
+#include <optional>
+
+#include "app/part.h"
+#include "app/peers_part.h"
+#include "cluster/replica.h"
+#include "core/ports.h"
+#include "store/replica_store.h"
+
+namespace silverrail::app {
+
+class ReplicaPart : public Part {
+public:
+    struct World {
+        net::asio::io_context& io;
+        PeersPart& peers;
+        const core::Clock& clock;
+        Log& log;
+    };
+    // `file` empty, or held by another process of this router: nothing is kept over a restart, and the log
+    // says so. A file that is damaged or somebody else's is set aside under another name, which the log
+    // gives.
+    ReplicaPart(World world, const config::PeersSettings& settings, const std::string& file,
+                std::uint64_t seed);
+    void start() override;
+    void stop() override { timer_.cancel(); }
+    std::string counters() override;
+
+    // Called with each key whose state may have changed, in force or not, from the start on.
+    void follow(std::function<void(const std::set<std::string>&)> touched) { touched_ = std::move(touched); }
+    // A change made here: kept when it returns true, and on its way to the others.
+    bool set(const std::string& key, const std::string& value);
+    bool clear(const std::string& key);
+    bool in_force(const std::string& key) const { return replica_.in_force(key); }
+    // True where nothing was restored: what the router holds from elsewhere is still to be said.
+    bool fresh() const { return fresh_; }
+    // The answer to REPLICA: a line an origin: origin, number held, highest heard, lag; then "--".
+    std::string digest() const;
+
+private:
+    static std::unique_ptr<store::ReplicaStore> open(const std::string& file, const std::string& origin,
+                                                     Log& log);
+    void tick();
+    bool keep();
+    cluster::Time now() const;
+
+    World world_;
+    std::string own_origin_;
+    std::unique_ptr<store::ReplicaStore> store_;
+    cluster::Replica replica_;
+    bool fresh_ = true;
+    net::asio::steady_timer timer_;
+    std::function<void(const std::set<std::string>&)> touched_;
+    std::chrono::steady_clock::time_point began_ = std::chrono::steady_clock::now();
+    std::uint64_t failed_writes_ = 0;
+};
+
+}  // namespace silverrail::app
--- a/src/cluster/replica.cpp
+++ b/src/cluster/replica.cpp
@@ -188,6 +188,7 @@
         at->second = number;
     }
     origin.log[number] = key;
+    changes_.log.emplace(name, key);
     advance(name, origin, number);
 }
 
@@ -343,6 +344,7 @@
             if (at == origin.where.end()) continue;
             origin.forgotten = std::max(origin.forgotten, at->second);
             if (gone) {
+                changes_.log.emplace(name, it->first);
                 origin.log.erase(at->second);
                 origin.where.erase(at);
             }
@@ -408,6 +410,11 @@
         ++counts_.refused;
         return out;
     }
+    for (const auto& [origin, number] : in.numbers) {
+        if (heard_.size() >= settings_.most_origins && !heard_.contains(origin)) continue;
+        auto& highest = heard_[origin];
+        highest = std::max(highest, number);
+    }
     const auto answer = [&](ReplicaMessage m) {
         counts_.sent += m.updates.size();
         out.push_back({in.from_address, std::move(m)});
--- a/src/cluster/replica.h
+++ b/src/cluster/replica.h
@@ -153,10 +153,13 @@
     Numbers numbers() const;
     const std::string& origin() const { return origin_; }
     const ReplicaCounts& counts() const { return counts_; }
+    // The highest number heard of each origin, held or not: what is behind it is the lag.
+    const Numbers& heard() const { return heard_; }
 
     // What has to be written down: keys (gone if not held any more) and origins, since the last call.
     struct Changes {
         std::set<std::string> keys, origins;
+        std::set<std::pair<std::string, std::string>> log;  // origin and key: where the key stands in its log
         bool all = false;  // a full copy came: what is stored and not held any more goes
     };
     Changes take_changes();
@@ -217,6 +220,7 @@
         Time since{};
     };
     std::optional<Copy> copy_;
+    Numbers heard_;
     Changes changes_;
     std::set<std::string> touched_;
     ReplicaCounts counts_;
--- a/src/cluster/wire.cpp
+++ b/src/cluster/wire.cpp
@@ -127,14 +127,11 @@
     return out;
 }
 
-void pack_update(msgpack::packer<msgpack::sbuffer>& p, const Update& u) {
-    p.pack_array(5);
-    p.pack(u.origin);
-    p.pack(u.number);
-    p.pack(u.key);
-    p.pack(u.entry.changed);
-    p.pack_array(static_cast<std::uint32_t>(u.entry.marks.size()));
-    for (const auto& [origin, mark] : u.entry.marks) {
+// Two items: when it was changed, and its marks.
+void pack_entry(msgpack::packer<msgpack::sbuffer>& p, const Entry& entry) {
+    p.pack(entry.changed);
+    p.pack_array(static_cast<std::uint32_t>(entry.marks.size()));
+    for (const auto& [origin, mark] : entry.marks) {
         p.pack_array(5);
         p.pack(origin);
         p.pack(mark.set);
@@ -144,19 +141,33 @@
     }
 }
 
+Entry entry_of(const msgpack::object& changed, const msgpack::object& marks) {
+    Entry entry;
+    entry.changed = whole(changed);
+    each(marks, kMostMarks, [&entry](const msgpack::object& item) {
+        if (item.type != msgpack::type::ARRAY || item.via.array.size != 5) throw Bad{Trouble::undecodable};
+        entry.marks.emplace(text(at(item, 0), kLongestOrigin),
+                            Mark{whole(at(item, 1)), whole(at(item, 2)), whole(at(item, 3)),
+                                 text(at(item, 4), kLongestValue)});
+    });
+    return entry;
+}
+
+void pack_update(msgpack::packer<msgpack::sbuffer>& p, const Update& u) {
+    p.pack_array(5);
+    p.pack(u.origin);
+    p.pack(u.number);
+    p.pack(u.key);
+    pack_entry(p, u.entry);
+}
+
 Update update_of(const msgpack::object& o) {
     if (o.type != msgpack::type::ARRAY || o.via.array.size != 5) throw Bad{Trouble::undecodable};
     Update u;
     u.origin = text(at(o, 0), kLongestOrigin);
     u.number = whole(at(o, 1));
     u.key = text(at(o, 2), kLongestKey);
-    u.entry.changed = whole(at(o, 3));
-    each(at(o, 4), kMostMarks, [&u](const msgpack::object& item) {
-        if (item.type != msgpack::type::ARRAY || item.via.array.size != 5) throw Bad{Trouble::undecodable};
-        u.entry.marks.emplace(text(at(item, 0), kLongestOrigin),
-                              Mark{whole(at(item, 1)), whole(at(item, 2)), whole(at(item, 3)),
-                                   text(at(item, 4), kLongestValue)});
-    });
+    u.entry = entry_of(at(o, 3), at(o, 4));
     return u;
 }
 
@@ -281,6 +292,28 @@
     } catch (const std::exception&) { return Trouble::undecodable; }
 }
 
+std::string encode(const Entry& entry) {
+    msgpack::sbuffer buffer;
+    msgpack::packer<msgpack::sbuffer> p{buffer};
+    p.pack_array(2);
+    pack_entry(p, entry);
+    return {buffer.data(), buffer.size()};
+}
+
+std::optional<Entry> decode_entry(std::string_view bytes) {
+    try {
+        std::size_t offset = 0;
+        const auto handle =
+            msgpack::unpack(bytes.data(), bytes.size(), offset, nullptr, nullptr, limits(false));
+        const msgpack::object& o = handle.get();
+        if (offset != bytes.size() || o.type != msgpack::type::ARRAY || o.via.array.size != 2)
+            return std::nullopt;
+        return entry_of(at(o, 0), at(o, 1));
+    } catch (const Bad&) { return std::nullopt; } catch (const std::exception&) {
+        return std::nullopt;
+    }
+}
+
 std::string frame_header(std::size_t length) {
     const auto n = static_cast<std::uint32_t>(length);
     return {static_cast<char>(n >> 24), static_cast<char>(n >> 16), static_cast<char>(n >> 8),
--- a/src/cluster/wire.h
+++ b/src/cluster/wire.h
@@ -14,6 +14,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -37,6 +38,10 @@
 std::string encode(const ReplicaMessage& message);
 std::variant<Message, ReplicaMessage, Trouble> decode(std::string_view bytes, bool stream);
 
+// One entry as a store keeps it: [changed, marks]. Empty: undecodable or out of bounds.
+std::string encode(const Entry& entry);
+std::optional<Entry> decode_entry(std::string_view bytes);
+
 // A frame's four bytes of length; the length is checked against kMostFrame by the reader.
 std::string frame_header(std::size_t length);
 std::uint32_t frame_length(const unsigned char header[4]);
--- a/src/config/operator.h
+++ b/src/config/operator.h
@@ -65,6 +65,8 @@
     std::int64_t indirect = 3;
     double suspicion_mult = 4;
     double suspicion_max_mult = 6;
+    std::int64_t replica_ms = 1000;
+    std::int64_t tombstone_keep_ms = 86'400'000;
     bool on() const { return !bind.empty(); }
     bool operator==(const PeersSettings&) const = default;
 };
--- a/src/front/admin/admin.cpp
+++ b/src/front/admin/admin.cpp
@@ -20,6 +20,7 @@
         case Call::Kind::online: return said(hands_.back(box));
         case Call::Kind::members:
             return members_ ? members_() : no("no peers: this router keeps no view of the fleet");
+        case Call::Kind::replica: return replica_ ? replica_() : no("no peers: this router shares nothing");
     }
     return no("unknown call");
 }
--- a/src/front/admin/admin.h
+++ b/src/front/admin/admin.h
@@ -23,10 +23,15 @@
 
 class Admin {
 public:
-    // `members`: the fleet's view as MEMBERS tells it; empty where the router has no peers.
+    // `members`, `replica`: the answers to MEMBERS and REPLICA; empty where the router has no peers.
     Admin(core::Engine& engine, Hands& hands, const Lifecycle& lifecycle, Log& log,
-          std::function<std::string()> members = {})
-        : engine_(engine), hands_(hands), lifecycle_(lifecycle), log_(log), members_(std::move(members)) {}
+          std::function<std::string()> members = {}, std::function<std::string()> replica = {})
+        : engine_(engine),
+          hands_(hands),
+          lifecycle_(lifecycle),
+          log_(log),
+          members_(std::move(members)),
+          replica_(std::move(replica)) {}
     std::string answer(std::string_view line, bool ended);
 
 private:
@@ -35,6 +40,7 @@
     const Lifecycle& lifecycle_;
     Log& log_;
     std::function<std::string()> members_;
+    std::function<std::string()> replica_;
 };
 
 }  // namespace silverrail::front::admin
--- a/src/front/admin/words.cpp
+++ b/src/front/admin/words.cpp
@@ -24,18 +24,21 @@
     if (!plain) return "bytes that are no text";
     const std::string_view word = line.substr(0, line.find(' '));
     const bool alone = word.size() == line.size();
-    if (word == "HEALTH" || word == "DUMP" || word == "MEMBERS") {
+    const std::pair<std::string_view, Call::Kind> kAlone[] = {{"HEALTH", Call::Kind::health},
+                                                              {"DUMP", Call::Kind::dump},
+                                                              {"MEMBERS", Call::Kind::members},
+                                                              {"REPLICA", Call::Kind::replica}};
+    for (const auto& [name, kind] : kAlone) {
+        if (word != name) continue;
         if (!alone) return std::string{word} + " takes nothing behind it";
-        return Call{word == "HEALTH" ? Call::Kind::health
-                    : word == "DUMP" ? Call::Kind::dump
-                                     : Call::Kind::members};
+        return Call{kind};
     }
     if (word == "OFFLINE" || word == "ONLINE") {
         const std::string_view box = alone ? std::string_view{} : line.substr(word.size() + 1);
         if (!members::Bans::fits(box)) return std::string{word} + " takes the id of one box behind it";
         return Call{word == "OFFLINE" ? Call::Kind::offline : Call::Kind::online, std::string{box}};
     }
-    return "unknown call; there are HEALTH, DUMP, MEMBERS, OFFLINE and ONLINE";
+    return "unknown call; there are HEALTH, DUMP, MEMBERS, REPLICA, OFFLINE and ONLINE";
 }
 
 std::string yes(std::string_view words) { return line_of("ACK", words); }
--- a/src/front/admin/words.h
+++ b/src/front/admin/words.h
@@ -10,7 +10,7 @@
 namespace silverrail::front::admin {
 
 struct Call {
-    enum class Kind { health, dump, offline, online, members };
+    enum class Kind { health, dump, offline, online, members, replica };
     Kind kind = Kind::health;
     std::string box{};  // offline, online: its id
     bool operator==(const Call&) const = default;
--- a/src/lab/fleet.cpp
+++ b/src/lab/fleet.cpp
@@ -89,12 +89,18 @@
     if (pids_.at(i) > 0) kill(i);
     const auto dir = folder_ / name(i);
     std::filesystem::create_directories(dir);
+    std::string boxes;
+    for (std::size_t k = 0; k < kBoxes; ++k) {
+        boxes += k ? R"(,{"id":")" : R"({"id":")";
+        boxes += box(k) + R"(","addr":"127.0.0.1:)" + std::to_string(1 + k);
+        boxes +=
+            R"(","zone":"edge-1","kind":"small-box","cell":1,"state":"active","weight":10,"started_ms":0})";
+    }
     std::ofstream{dir / "config.json"}
         << R"({"name":")" << name(i) << R"(","listen":")" << http(i) << R"(","seed":")" << (options_.seed + i)
         << R"(","bulletin":"","limits":{"sockets":256,"memory_mb":64},"flow_bytes_per_s":1e6,)"
         << R"("link_bytes_per_s":4e6,"known":{"no":1,"items":[{"no":1,"roster":{"full":true,"servers":[)"
-        << R"({"id":"s-a","addr":"127.0.0.1:9","zone":"edge-1","kind":"small-box","cell":1,"state":"active",)"
-        << R"("weight":10,"started_ms":0}]}}]},"settings":{"allowed":{"cancel":true,"connect-timeout":400000000,)"
+        << boxes << R"(]}}]},"settings":{"allowed":{"cancel":true,"connect-timeout":400000000,)"
         << R"("conn-idle":15000000000,"retry-after":true,"max-retry-after":500000000,"try-limit":6},"classes":[)"
         << R"({"name":"pages","aim":250000000,"give-up":5000000000,"effect":"pure"}],"zone":"edge-1",)"
         << R"("dcs":["edge-1"],"weights":"rough","kinds":["small-box"],"family-info":{"second-tier-kind":1,)"
@@ -161,6 +167,18 @@
     return talk(control_ports_.at(i), line + "\n");
 }
 
+std::map<std::string, std::uint64_t> Fleet::digest(std::size_t i) {
+    std::map<std::string, std::uint64_t> out;
+    std::istringstream lines{call(i, "REPLICA")};
+    std::string line, origin;
+    std::uint64_t number = 0;
+    while (std::getline(lines, line) && line != "--") {
+        std::istringstream words{line};
+        if (words >> origin >> number) out[origin] = number;
+    }
+    return out;
+}
+
 View Fleet::view(std::size_t i) {
     View out;
     std::istringstream lines{call(i, "MEMBERS")};
--- a/src/lab/fleet.h
+++ b/src/lab/fleet.h
@@ -56,6 +56,13 @@
     std::string call(std::size_t i, const std::string& line);
     // GET /counters of member i: name to value.
     std::map<std::string, std::uint64_t> counters(std::size_t i);
+    // REPLICA of member i: origin to the number held; empty if it does not answer.
+    std::map<std::string, std::uint64_t> digest(std::size_t i);
+    // The boxes in the list that every member is given: "b-0" to "b-39".
+    static constexpr std::size_t kBoxes = 40;
+    static std::string box(std::size_t k) { return std::string{"b-"}.append(std::to_string(k)); }
+    std::filesystem::path folder(std::size_t i) const { return folder_ / name(i); }
+    std::size_t members() const { return pids_.size(); }
     // What member i wrote on its standard error so far.
     const std::string& log(std::size_t i) { return logs_.at(i); }
     // Waits until `done` holds, reading logs meanwhile; false at the deadline.
--- /dev/null
+++ b/src/store/replica_store.h
@@ -0,0 +1,53 @@
+// What a router has applied of the replicated state, on disk: written before it is acknowledged, taken up
+// again by a restart. SQLite, one file with its write-ahead log beside it, held by one process at a time.
+//
+// A kill at any moment leaves the last commit whole (the log's frames are checksummed, a torn one is left
+// out). After a loss of power the last commits may be missing, but what is there is whole:
+// synchronous=NORMAL, as the folder is memory on the platform and a call on the control address must not wait
+// for a disk.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <stdexcept>
+#include <string>
+
+#include "cluster/replica.h"
+
+struct sqlite3;
+
+namespace silverrail::store {
+
+class ReplicaStore {
+public:
+    // The file is held by another process: this one goes without.
+    struct Held : std::runtime_error {
+        using std::runtime_error::runtime_error;
+    };
+    // Opens or makes it; `origin` is kept in a new one. Throws std::runtime_error, which names the file,
+    // where it is damaged, somebody else's or of another version; nothing in it is changed then.
+    ReplicaStore(std::string file, const std::string& origin);
+    ~ReplicaStore();
+    ReplicaStore(const ReplicaStore&) = delete;
+    ReplicaStore& operator=(const ReplicaStore&) = delete;
+
+    // The origin under which this store's changes are numbered.
+    const std::string& origin() const { return origin_; }
+    // Everything in it. Throws as the constructor does.
+    std::map<std::string, cluster::Entry> entries();
+    std::map<std::string, cluster::Replica::Origin> origins();
+    // One commit; on return it is kept. Throws std::runtime_error, with the file's name, if it is not.
+    void write(const cluster::Replica& replica, const cluster::Replica::Changes& changes);
+
+private:
+    class Statement;
+    void run(const char* sql);
+    [[noreturn]] void fail(const std::string& what) const;
+
+    std::string file_;
+    std::string origin_;
+    std::unique_ptr<sqlite3, int (*)(sqlite3*)> db_;
+};
+
+}  // namespace silverrail::store
--- a/tests/fleet/fleet_test.cpp
+++ b/tests/fleet/fleet_test.cpp
@@ -8,6 +8,8 @@
 #include <cstdio>
 #include <cstring>
 #include <filesystem>
+#include <fstream>
+#include <optional>
 #include <string>
 
 #include "../silverrail/check.h"
@@ -25,7 +27,7 @@
 lab::Fleet::Options options(std::size_t members) {
     return {members, SILVERRAIL_PROGRAM,
             R"(,"probe_ms":250,"probe_timeout_ms":100,"push_pull_ms":1000,"dead_keep_ms":30000,)"
-            R"("suspicion_mult":12,"suspicion_max_mult":2)",
+            R"("suspicion_mult":12,"suspicion_max_mult":2,"replica_ms":250)",
             7};
 }
 
@@ -171,6 +173,171 @@
     CHECK(fleet.wait_until([&] { return fleet.agree() && fleet.view(0).size() == 8; }, 5s));
 }
 
+// Every running member has `out` boxes out by hand, and holds the same numbers of every origin.
+bool all_out(Fleet& fleet, std::size_t out) {
+    std::optional<std::map<std::string, std::uint64_t>> first;
+    for (std::size_t i = 0; i < fleet.members(); ++i) {
+        if (!fleet.running(i)) continue;
+        auto c = fleet.counters(i);
+        if (!c.contains("bans.out") || c["bans.out"] != out) return false;
+        auto d = fleet.digest(i);
+        if (!first) first = d;
+        if (d != *first) return false;
+    }
+    return true;
+}
+
+bool ack(const std::string& answer) { return answer.rfind("ACK", 0) == 0; }
+
+long long since(std::chrono::steady_clock::time_point began) {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - began)
+        .count();
+}
+
+// A ban on one router is in force on all, and so is its end; both over a restart of all.
+void bans() {
+    Fleet fleet{options(8)};
+    start_all(fleet, 0, 8);
+    CHECK(fleet.wait_until([&] { return fleet.agree(); }, 3s));
+    auto began = std::chrono::steady_clock::now();
+    CHECK(ack(fleet.call(3, "OFFLINE b-1")));
+    CHECK(fleet.wait_until([&] { return all_out(fleet, 1); }, 2s));
+    std::printf("bans: on all 8 after %lld ms\n", since(began));
+    CHECK(ack(fleet.call(6, "OFFLINE b-2")) && ack(fleet.call(0, "ONLINE b-1")));
+    CHECK(fleet.wait_until([&] { return all_out(fleet, 1); }, 2s));
+    // Every process killed at once: what was acknowledged is in force from the first moment after.
+    for (std::size_t i = 0; i < 8; ++i) fleet.kill(i);
+    start_all(fleet, 0, 8);
+    CHECK(fleet.wait_until([&] { return fleet.agree() && all_out(fleet, 1); }, 5s));
+    CHECK(fleet.call(5, "OFFLINE no-such").rfind("NAK", 0) == 0);
+}
+
+// One killed, away for 30 s of changes: it catches up with what it missed, not with all there is.
+void catch_up() {
+    Fleet fleet{options(8)};
+    start_all(fleet, 0, 8);
+    CHECK(fleet.wait_until([&] { return fleet.agree(); }, 3s));
+    for (std::size_t k = 0; k < 20; ++k) CHECK(ack(fleet.call(k % 8, "OFFLINE " + Fleet::box(k))));
+    CHECK(fleet.wait_until([&] { return all_out(fleet, 20); }, 4s));
+    fleet.kill(5);
+    const auto killed = std::chrono::steady_clock::now();
+    std::size_t changes = 0;
+    // A change every two seconds or so, until the 30 s are over.
+    while (std::chrono::steady_clock::now() - killed < 30s) {
+        CHECK(ack(fleet.call(changes % 4, "OFFLINE " + Fleet::box(20 + changes))));
+        ++changes;
+        fleet.wait_until([] { return false; }, 2s);
+    }
+    CHECK(changes >= 10 && changes <= 18);
+    fleet.start(5);
+    const auto began = std::chrono::steady_clock::now();
+    CHECK(fleet.wait_until([&] { return all_out(fleet, 20 + changes); }, 2s));
+    auto c = fleet.counters(5);
+    std::printf("catch up: %zu changes missed, %llu fetched after %lld ms, %llu bytes in\n", changes,
+                static_cast<unsigned long long>(c["replica.applied"]), since(began),
+                static_cast<unsigned long long>(c["peers.bytes_in"]));
+    // Each missed change once, as news at most a few times more; none of the twenty from before.
+    CHECK(c["replica.applied"] >= changes && c["replica.applied"] <= changes + 2 &&
+          c["replica.full_copies"] == 0);
+}
+
+// Bans and unbans on both sides of a cut: after it one state on all, a ban that an unban had not seen in
+// force.
+void split_bans() {
+    Fleet fleet{options(8)};
+    start_all(fleet, 0, 8);
+    CHECK(fleet.wait_until([&] { return fleet.agree(); }, 3s));
+    CHECK(ack(fleet.call(0, "OFFLINE b-0")) && ack(fleet.call(1, "OFFLINE b-1")));
+    CHECK(fleet.wait_until([&] { return all_out(fleet, 2); }, 2s));
+    for (std::size_t a = 0; a < 5; ++a)
+        for (std::size_t b = 5; b < 8; ++b) fleet.relay().set_both(a, b, {.cut = true});
+    CHECK(ack(fleet.call(0, "ONLINE b-0")));   // seen by all: gone everywhere
+    CHECK(ack(fleet.call(1, "ONLINE b-1")));   // but said again beyond the cut:
+    CHECK(ack(fleet.call(6, "OFFLINE b-1")));  // stays
+    CHECK(ack(fleet.call(2, "OFFLINE b-2")) && ack(fleet.call(7, "OFFLINE b-3")));
+    // Apart long enough for each side to have told all of its own.
+    fleet.wait_until([&] { return fleet.counters(4)["bans.out"] == 1 && fleet.counters(5)["bans.out"] == 3; },
+                     3s);
+    CHECK(fleet.counters(4)["bans.out"] == 1 && fleet.counters(5)["bans.out"] == 3);
+    fleet.relay().clear();
+    const auto healed = std::chrono::steady_clock::now();
+    CHECK(fleet.wait_until([&] { return all_out(fleet, 3); }, 5s));
+    std::printf("split bans: one state %lld ms after healing\n", since(healed));
+    CHECK(ack(fleet.call(4, "ONLINE b-1")));
+    CHECK(fleet.wait_until([&] { return all_out(fleet, 2); }, 2s));
+}
+
+// A store that is no store is set aside and named; its member has everything from the others again.
+void damaged_store() {
+    Fleet fleet{options(4)};
+    start_all(fleet, 0, 4);
+    CHECK(fleet.wait_until([&] { return fleet.agree(); }, 3s));
+    for (std::size_t k = 0; k < 3; ++k) CHECK(ack(fleet.call(k, "OFFLINE " + Fleet::box(k))));
+    CHECK(fleet.wait_until([&] { return all_out(fleet, 3); }, 2s));
+    fleet.kill(2);
+    std::filesystem::path file;
+    for (const auto& e : std::filesystem::directory_iterator{fleet.folder(2)}) {
+        if (e.path().extension() == ".replica") file = e.path();
+        if (e.path().extension() == ".bans") std::filesystem::remove(e.path());
+    }
+    CHECK(!file.empty());
+    std::filesystem::remove(file.string() + "-wal");
+    std::ofstream{file} << std::string(20'000, 'x');
+    fleet.start(2);
+    CHECK(fleet.wait_until([&] { return all_out(fleet, 3); }, 5s));
+    CHECK(fleet.wait_until([&] { return fleet.log(2).find("replica-refused") != std::string::npos; }, 2s));
+    CHECK(fleet.log(2).find(file.string()) != std::string::npos);
+    CHECK(std::filesystem::exists(file.string() + ".refused"));
+    CHECK(fleet.call(2, "HEALTH").rfind("ACK", 0) == 0);
+}
+
+// Stale, future, oversize and malformed updates: counted, nothing applied, the router serves on.
+void bad_updates() {
+    Fleet fleet{options(3)};
+    start_all(fleet, 0, 3);
+    CHECK(fleet.wait_until([&] { return fleet.agree(); }, 3s));
+    CHECK(ack(fleet.call(1, "OFFLINE b-1")));
+    CHECK(fleet.wait_until([&] { return all_out(fleet, 1); }, 2s));
+    const auto digest = fleet.digest(0);
+    const auto author =
+        std::find_if(digest.begin(), digest.end(), [](const auto& d) { return d.second > 0; });
+    CHECK(author != digest.end());
+    namespace asio = net::asio;
+    asio::io_context io;
+    const auto at = *net::Peer::endpoint_of(fleet.peer_address(0));
+    asio::ip::udp::socket u{io, asio::ip::udp::endpoint{asio::ip::make_address("127.0.0.1"), 0}};
+    const auto unix_now = std::chrono::duration_cast<std::chrono::milliseconds>(
+                              std::chrono::system_clock::now().time_since_epoch())
+                              .count();
+    const auto news = [&](const std::string& origin, std::uint64_t number, const std::string& key,
+                          long long when) {
+        cluster::ReplicaMessage m;
+        m.kind = cluster::ReplicaMessage::Kind::news;
+        m.from = "x";
+        m.from_address = "127.0.0.1:9";
+        const auto stamp = static_cast<cluster::Stamp>(when) << 16;
+        m.updates.push_back({origin, number, key, {{{origin, {number, 0, stamp, ""}}}, stamp}});
+        return m;
+    };
+    const auto stale = news(author->first, 1, "ban/b-2", unix_now);
+    const auto future = news("x@1", 1, "ban/b-3", unix_now + 3'600'000);
+    auto malformed = news("x@1", 1, "ban/b-4", unix_now);
+    malformed.updates.front().entry.changed = 0;
+    auto oversize = news("x@1", 1, "ban/b-5", unix_now);
+    oversize.updates.front().key = std::string(1'000, 'k');
+    for (const auto& m : {stale, future, malformed, oversize})
+        u.send_to(asio::buffer(cluster::wire::encode(m)), at);
+    CHECK(fleet.wait_until(
+        [&] {
+            auto c = fleet.counters(0);
+            return c["replica.duplicates"] >= 1 && c["replica.ahead"] >= 1 && c["replica.refused"] >= 1 &&
+                   c["peers.refused_out_of_bounds"] >= 1;
+        },
+        3s));
+    CHECK(fleet.counters(0)["bans.out"] == 1 && fleet.digest(0) == digest && all_out(fleet, 1));
+    CHECK(fleet.call(0, "HEALTH").rfind("ACK", 0) == 0);
+}
+
 std::size_t descriptors(pid_t pid) {
     std::size_t n = 0;
     for ([[maybe_unused]] const auto& e :
@@ -239,9 +406,19 @@
     const struct {
         const char* name;
         void (*run)();
-    } kScenarios[] = {{"join", join},           {"crash", crash},         {"stall", stall},
-                      {"bad_links", bad_links}, {"partition", partition}, {"restart", restart},
-                      {"crowd", crowd},         {"bad_peers", bad_peers}};
+    } kScenarios[] = {{"join", join},
+                      {"crash", crash},
+                      {"stall", stall},
+                      {"bad_links", bad_links},
+                      {"partition", partition},
+                      {"restart", restart},
+                      {"crowd", crowd},
+                      {"bad_peers", bad_peers},
+                      {"bans", bans},
+                      {"catch_up", catch_up},
+                      {"split_bans", split_bans},
+                      {"damaged_store", damaged_store},
+                      {"bad_updates", bad_updates}};
     for (const auto& s : kScenarios)
         if (argc > 1 && std::strcmp(argv[1], s.name) == 0) {
             s.run();
--- /dev/null
+++ b/tests/store/replica_store_test.cpp
@@ -0,0 +1,179 @@
+// The replicated state's store: what is written is there again, cut at every write nothing acknowledged is
+// lost, and what is damaged or somebody else's is refused by name and left alone.
+#include "store/replica_store.h"
+
+#include <unistd.h>
+
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+#include <optional>
+#include <vector>
+
+#include "../silverrail/check.h"
+
+using namespace silverrail;
+using namespace silverrail::cluster;
+using store::ReplicaStore;
+using namespace std::chrono_literals;
+namespace fs = std::filesystem;
+
+namespace {
+
+constexpr UnixMs kNow = 1'800'000'000'000;
+
+struct Folder {
+    fs::path path = fs::temp_directory_path() / ("silverrail-store-" + std::to_string(::getpid()));
+    Folder() {
+        fs::remove_all(path);
+        fs::create_directories(path);
+    }
+    ~Folder() { fs::remove_all(path); }
+    std::string file(const char* name) const { return (path / name).string(); }
+};
+
+std::string read(const std::string& file) {
+    std::ifstream in{file, std::ios::binary};
+    return {std::istreambuf_iterator<char>{in}, {}};
+}
+void write(const std::string& file, const std::string& bytes) {
+    std::ofstream{file, std::ios::binary} << bytes;
+}
+
+bool same(const Replica::Origin& a, const Replica::Origin& b) {
+    return a.number == b.number && a.forgotten == b.forgotten && a.log == b.log && a.where == b.where;
+}
+
+bool holds(ReplicaStore& store, const Replica& replica) {
+    const auto origins = store.origins();
+    for (const auto& [name, origin] : replica.origins()) {
+        const auto found = origins.find(name);
+        if (found == origins.end() ? origin.number > 0 : !same(found->second, origin)) return false;
+    }
+    return store.entries() == replica.entries();
+}
+
+std::optional<std::string> refusal(const std::string& file) {
+    try {
+        ReplicaStore store{file, "new@1"};
+        (void)store.entries();
+        (void)store.origins();
+    } catch (const std::runtime_error& e) { return e.what(); }
+    return std::nullopt;
+}
+
+void check_round_trip(const Folder& folder) {
+    const auto file = folder.file("whole");
+    Replica a{"a", "a", "a@1", {}, 1, 0ms};
+    {
+        ReplicaStore store{file, "a@1"};
+        CHECK(store.origin() == "a@1" && store.entries().empty());
+        for (int i = 0; i < 30; ++i) {
+            CHECK(a.set("ban/" + std::to_string(i % 9), std::to_string(i), kNow + i));
+            if (i % 4 == 3) CHECK(a.clear("ban/" + std::to_string(i % 9), kNow + i));
+            store.write(a, a.take_changes());
+            CHECK(holds(store, a));
+        }
+        // One process at a time.
+        bool held = false;
+        try {
+            ReplicaStore second{file, "b@1"};
+        } catch (const ReplicaStore::Held&) { held = true; }
+        CHECK(held);
+    }
+    // The origin is the store's, whoever opens it, and numbers go on from there.
+    ReplicaStore store{file, "later@2"};
+    CHECK(store.origin() == "a@1" && holds(store, a));
+    Replica again{"a", "a", store.origin(), {}, 1, 0ms};
+    again.restore(store.entries(), store.origins());
+    CHECK(again.summary() == a.summary());
+    CHECK(again.set("ban/new", "", kNow) && again.numbers().at("a@1") == a.numbers().at("a@1") + 1);
+    // Forgotten, and replaced by a full copy: what is gone is gone from the file too.
+    Replica empty{"a", "a", "a@1", {}, 1, 0ms};
+    Replica::Changes all;
+    all.all = true;
+    store.write(empty, all);
+    CHECK(store.entries().empty() && holds(store, empty));
+}
+
+// A kill leaves the log of writes cut anywhere in the last commit: all commits before it are there, and it is
+// there whole or not at all.
+void check_cut_at_every_write(const Folder& folder) {
+    const auto file = folder.file("cut");
+    Replica a{"a", "a", "a@1", {}, 1, 0ms};
+    ReplicaStore store{file, "a@1"};
+    std::size_t cuts = 0;
+    for (int i = 0; i < 12; ++i) {
+        const auto before_log = read(file + "-wal");
+        const auto entries_before = a.entries();
+        CHECK(i % 5 == 4 ? a.clear("ban/1", kNow + i) : a.set("ban/" + std::to_string(i % 4), "x", kNow + i));
+        store.write(a, a.take_changes());
+        const auto main_file = read(file), log = read(file + "-wal");
+        CHECK(log.size() > before_log.size());
+        for (std::size_t at = before_log.size(); at <= log.size(); at += at + 97 < log.size() ? 97 : 1) {
+            const auto copy = folder.file("copy");
+            write(copy, main_file);
+            write(copy + "-wal", log.substr(0, at));
+            {
+                ReplicaStore opened{copy, "x@9"};
+                const auto entries = opened.entries();
+                (void)opened.origins();
+                CHECK(opened.origin() == "a@1");
+                CHECK(at == log.size() ? entries == a.entries()
+                                       : entries == a.entries() || entries == entries_before);
+            }
+            fs::remove(copy);
+            fs::remove(copy + "-wal");
+            ++cuts;
+        }
+    }
+    CHECK(cuts > 500);
+    std::printf("%zu cuts\n", cuts);
+}
+
+void check_refused(const Folder& folder) {
+    const auto good = folder.file("good");
+    {
+        ReplicaStore store{good, "a@1"};
+        Replica a{"a", "a", "a@1", {}, 1, 0ms};
+        for (int i = 0; i < 200; ++i) CHECK(a.set("ban/" + std::to_string(i), std::string(100, 'v'), kNow));
+        store.write(a, a.take_changes());
+    }
+    const auto bytes = read(good);
+    CHECK(bytes.size() > 8'192 && !refusal(good));
+    const auto bad = folder.file("bad");
+    // Nobody's database, and one cut in the middle of its pages.
+    std::size_t refused = 0;
+    for (const auto& damaged : {std::string(10'000, 'x'), std::string("not a store"), bytes.substr(0, 4'096),
+                                bytes.substr(0, bytes.size() - 5'000)}) {
+        write(bad, damaged);
+        const auto why = refusal(bad);
+        CHECK(why && why->find(bad) != std::string::npos);
+        CHECK(read(bad) == damaged);  // left as it was
+        ++refused;
+    }
+    // Bytes overwritten anywhere: refused, or it reads; never a crash.
+    for (std::size_t at = 0; at + 64 < bytes.size(); at += 509) {
+        auto damaged = bytes;
+        for (std::size_t i = 0; i < 64; ++i) damaged[at + i] = static_cast<char>(damaged[at + i] ^ 0x5a);
+        write(bad, damaged);
+        if (const auto why = refusal(bad)) {
+            CHECK(why->find(bad) != std::string::npos);
+            ++refused;
+        }
+        fs::remove(bad + "-wal");
+        fs::remove(bad + "-journal");
+    }
+    CHECK(refused > 10);
+    std::printf("%zu refused\n", refused);
+}
+
+}  // namespace
+
+int main() {
+    const Folder folder;
+    check_round_trip(folder);
+    check_cut_at_every_write(folder);
+    check_refused(folder);
+    std::puts("replica store: what is acknowledged is kept, what is damaged is refused by name");
+}
