Begin a full copy anew where its giver forgot something between two pages

Traced by printing each change of the key: the giver knew a set by news only, held its tombstone as it should, counted the set while pages went out, and forgot the key before its page; the copy's numbers, of the first page, did not vouch for the set, so the receiver kept it and took the clear as seen. At fault: take_page, which joined what was forgotten over all pages.

--- a/src/cluster/replica.cpp
+++ b/src/cluster/replica.cpp
@@ -497,10 +497,14 @@
 }
 
 void Replica::take_page(const ReplicaMessage& in, UnixMs unix_now, std::vector<ReplicaSend>& out) {
-    if (in.cursor.empty()) { copy_->numbers = in.numbers; }
-    for (const auto& [origin, number] : in.after) {
-        auto& forgotten = copy_->forgotten[origin];
-        forgotten = std::max(forgotten, number);
+    if (in.cursor.empty()) {
+        copy_->numbers = in.numbers;
+        copy_->forgotten = in.after;
+    } else if (copy_->forgotten != in.after) {
+        // The giver forgot something between two pages: it may be missing although the numbers of the first
+        // page do not vouch for it. From the start again in a later round.
+        copy_.reset();
+        return;
     }
     for (const auto& u : in.updates) {
         if (too_far_ahead(u.entry, unix_now) || copy_->updates.size() >= 4 * settings_.most_entries) {
