Read the replica's store once at start, and let twins in the cluster code share one piece

Read once more: the store was read twice at start; undoing marks, asking for a full copy, drawing a wait, the wire's record loop and the parts' clock each stood twice.

--- a/src/app/peers_part.h
+++ b/src/app/peers_part.h
@@ -31,12 +31,12 @@
     }
     void send(std::vector<net::Peer::Send> sends) { peer_.send(std::move(sends)); }
     std::vector<std::string> alive() const;
+    cluster::Time now() const;  // since the start: the state machines' steady clock
 
 private:
     void tick();
     void logged();
     std::vector<net::Peer::Send> received(const net::Peer::Message& message);
-    cluster::Time now() const;
 
     net::asio::io_context& io_;
     Log& log_;
--- a/src/app/replica_part.cpp
+++ b/src/app/replica_part.cpp
@@ -17,20 +17,24 @@
 
 }  // namespace
 
-std::unique_ptr<store::ReplicaStore> ReplicaPart::open(const std::string& file, const std::string& origin,
-                                                       Log& log) {
+ReplicaPart::Kept ReplicaPart::open(const std::string& file, const std::string& new_origin, Log& log) {
     if (file.empty()) {
         log.line("replica", R"({"store":"none","why":"TMPDIR is not set"})");
-        return nullptr;
+        return {new_origin};
     }
+    const auto whole = [&] {
+        auto store = std::make_unique<store::ReplicaStore>(file, new_origin);
+        auto entries = store->entries();
+        auto origins = store->origins();
+        auto origin = store->origin();
+        const bool fresh = origin == new_origin;
+        return Kept{std::move(origin), fresh, std::move(store), std::move(entries), std::move(origins)};
+    };
     try {
-        auto store = std::make_unique<store::ReplicaStore>(file, origin);
-        (void)store->entries();
-        (void)store->origins();
-        return store;
+        return whole();
     } catch (const store::ReplicaStore::Held& e) {
         log.line("replica", R"({"store":"none","why":"%s"})", e.what());
-        return nullptr;
+        return {new_origin};
     } catch (const std::exception& e) {
         // Nothing of it is believed; the peers have what it held. Kept aside for whoever looks into it.
         log.line("replica-refused", R"({"why":"%s","aside":"%s.refused"})", e.what(), file.c_str());
@@ -39,10 +43,10 @@
         std::filesystem::remove(file + "-wal", ignored);
     }
     try {
-        return std::make_unique<store::ReplicaStore>(file, origin);
+        return whole();
     } catch (const std::exception& e) {
         log.line("replica-refused", R"({"why":"%s"})", e.what());
-        return nullptr;
+        return {new_origin};
     }
 }
 
@@ -50,29 +54,25 @@
 // that a number stands for one change only.
 ReplicaPart::ReplicaPart(World world, const config::PeersSettings& settings, const std::string& file,
                          std::uint64_t seed)
+    : ReplicaPart(world, settings, seed,
+                  open(file, settings.name + "@" + std::to_string(world.clock.unix_ms()), world.log)) {}
+
+ReplicaPart::ReplicaPart(World world, const config::PeersSettings& settings, std::uint64_t seed, Kept kept)
     : world_(world),
-      own_origin_(settings.name + "@" + std::to_string(world.clock.unix_ms())),
-      store_(open(file, own_origin_, world.log)),
-      replica_(settings.name, settings.advertise.empty() ? settings.bind : settings.advertise,
-               store_ ? store_->origin() : own_origin_, settings_of(settings), seed ^ 0x9e3779b97f4a7c15ULL,
-               cluster::Time{0}),
+      store_(std::move(kept.store)),
+      replica_(settings.name, settings.advertise.empty() ? settings.bind : settings.advertise, kept.origin,
+               settings_of(settings), seed ^ 0x9e3779b97f4a7c15ULL, cluster::Time{0}),
+      fresh_(kept.fresh),
       timer_(world.io) {
-    if (store_) {
-        fresh_ = store_->origin() == own_origin_;
-        replica_.restore(store_->entries(), store_->origins());
-    }
+    if (store_) replica_.restore(std::move(kept.entries), std::move(kept.origins));
     world_.peers.replicate([this](const cluster::ReplicaMessage& message) {
-        auto out = net::Peer::sends(replica_.receive(message, now(), world_.clock.unix_ms()));
+        auto out = net::Peer::sends(replica_.receive(message, world_.peers.now(), world_.clock.unix_ms()));
         // What is not kept is not acknowledged either: the others ask again.
         if (!keep()) out.clear();
         return out;
     });
 }
 
-cluster::Time ReplicaPart::now() const {
-    return std::chrono::duration_cast<cluster::Time>(std::chrono::steady_clock::now() - began_);
-}
-
 void ReplicaPart::start() {
     world_.log.line("replica-start", R"({"origin":"%s","keys":%zu,"kept":%s})", replica_.origin().c_str(),
                     replica_.entries().size(), store_ ? "true" : "false");
@@ -98,7 +98,8 @@
 }
 
 void ReplicaPart::tick() {
-    auto sends = net::Peer::sends(replica_.tick(now(), world_.clock.unix_ms(), world_.peers.alive()));
+    auto sends =
+        net::Peer::sends(replica_.tick(world_.peers.now(), world_.clock.unix_ms(), world_.peers.alive()));
     if (keep()) world_.peers.send(std::move(sends));
     timer_.expires_after(kTick);
     timer_.async_wait([this](const net::error_code& error) {
--- a/src/app/replica_part.h
+++ b/src/app/replica_part.h
@@ -42,20 +42,25 @@
     std::string digest() const;
 
 private:
-    static std::unique_ptr<store::ReplicaStore> open(const std::string& file, const std::string& origin,
-                                                     Log& log);
+    // The store, and what was in it, read once; without a store all of it empty, the origin a new one.
+    struct Kept {
+        std::string origin;
+        bool fresh = true;  // nothing was restored
+        std::unique_ptr<store::ReplicaStore> store{};
+        std::map<std::string, cluster::Entry> entries{};
+        std::map<std::string, cluster::Replica::Origin> origins{};
+    };
+    static Kept open(const std::string& file, const std::string& new_origin, Log& log);
+    ReplicaPart(World world, const config::PeersSettings& settings, std::uint64_t seed, Kept kept);
     void tick();
     bool keep();
-    cluster::Time now() const;
 
     World world_;
-    std::string own_origin_;
     std::unique_ptr<store::ReplicaStore> store_;
     cluster::Replica replica_;
-    bool fresh_ = true;
+    bool fresh_;
     net::asio::steady_timer timer_;
     std::function<void(const std::set<std::string>&)> touched_;
-    std::chrono::steady_clock::time_point began_ = std::chrono::steady_clock::now();
     std::uint64_t failed_writes_ = 0;
 };
 
--- a/src/cluster/members.cpp
+++ b/src/cluster/members.cpp
@@ -58,7 +58,7 @@
       seeds_(std::move(seeds)),
       last_call_(now),
       // Members that start together would probe in step: the first probe falls anywhere in the first period.
-      next_probe_(now + within(settings.probe_interval)),
+      next_probe_(now + within(dice_, settings.probe_interval)),
       next_push_(now),
       next_gossip_(now),
       next_recheck_(now) {
@@ -139,12 +139,7 @@
 // it costs two digests.
 void Members::soon(Time now) {
     const auto span = settings_.probe_interval;
-    next_push_ = std::min(next_push_, now + span / 2 + within(span));
-}
-
-Time Members::within(Time span) {
-    return Time{
-        static_cast<Time::rep>(dice_() % static_cast<std::uint64_t>(std::max<Time::rep>(1, span.count())))};
+    next_push_ = std::min(next_push_, now + span / 2 + within(dice_, span));
 }
 
 void Members::event(Event::Kind kind, const Record& record) {
@@ -526,7 +521,7 @@
         // Alone, the seed did not answer or had no room: again soon. Else spread around the period, so that
         // members that started together do not stay in step.
         const auto span = members_.empty() ? settings_.probe_interval : settings_.push_pull_interval;
-        next_push_ = now + span * 3 / 4 + within(span / 2);
+        next_push_ = now + span * 3 / 4 + within(dice_, span / 2);
     }
     return out;
 }
@@ -595,9 +590,10 @@
             return out;
         }
         case Message::Kind::pull: {
-            if (in.digest && far_apart(digest_, *in.digest)) soon(now);
-            // What still differs after theirs was applied is what they lack; without a digest it ends there.
-            if (!in.digest || digest_ == *in.digest) return out;
+            if (!in.digest) return out;
+            if (far_apart(digest_, *in.digest)) soon(now);
+            // What still differs after theirs was applied is what they lack.
+            if (digest_ == *in.digest) return out;
             auto push = message(Message::Kind::push, ++seq_);
             push.records = differing(*in.digest);
             if (!push.records.empty()) out.push_back({in.from_address, std::move(push)});
--- a/src/cluster/members.h
+++ b/src/cluster/members.h
@@ -25,6 +25,7 @@
 //   stays flat as the fleet grows.
 #pragma once
 
+#include <algorithm>
 #include <array>
 #include <chrono>
 #include <cstdint>
@@ -40,6 +41,12 @@
 // Milliseconds on a steady clock, from any start.
 using Time = std::chrono::milliseconds;
 
+// Drawn evenly from 0 to below `span`, so that many routers do not act in step.
+inline Time within(std::mt19937_64& dice, Time span) {
+    return Time{
+        static_cast<Time::rep>(dice() % static_cast<std::uint64_t>(std::max<Time::rep>(1, span.count())))};
+}
+
 enum class State : std::uint8_t { alive, suspect, dead, left };
 const char* name_of(State state);
 
@@ -216,7 +223,6 @@
     void recheck(std::vector<Send>& out);
     void push_pull(std::vector<Send>& out);
     void soon(Time now);
-    Time within(Time span);  // drawn evenly from 0 to below it
     void raise_health() { health_ = std::min(health_ + 1, settings_.most_health); }
     void lower_health() { health_ = health_ > 0 ? health_ - 1 : 0; }
     Time stretched(Time span) const { return span * static_cast<Time::rep>(health_ + 1); }
--- a/src/cluster/replica.cpp
+++ b/src/cluster/replica.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <iterator>
-#include <tuple>
 #include <utility>
 
 #include "cluster/hash.h"
@@ -59,6 +58,9 @@
     return out;
 }
 
+// What is undone says nothing more but up to where.
+static void undo(Mark& mark) { mark = {mark.set, std::max(mark.set, mark.cleared), 0, {}}; }
+
 Entry join(const Entry& a, const Entry& b) {
     Entry out = a;
     out.changed = std::max(a.changed, b.changed);
@@ -67,7 +69,7 @@
         const auto cleared = std::max(mark.cleared, theirs.cleared);
         if (theirs.set > mark.set) mark = theirs;
         mark.cleared = cleared;
-        if (!mark.live()) mark = {mark.set, cleared, 0, {}};  // what is undone says nothing more
+        if (!mark.live()) undo(mark);
     }
     return out;
 }
@@ -79,8 +81,7 @@
       origin_(std::move(origin)),
       settings_(settings),
       dice_(seed),
-      next_round_(now + Time{static_cast<Time::rep>(dice_() % static_cast<std::uint64_t>(std::max<Time::rep>(
-                                                                  1, settings.interval.count())))}) {
+      next_round_(now + within(dice_, settings.interval)) {
     origins_[origin_];
 }
 
@@ -203,7 +204,7 @@
 bool Replica::set(const std::string& key, const std::string& value, UnixMs unix_now) {
     Entry entry;
     if (const auto found = entries_.find(key); found != entries_.end()) entry = found->second;
-    for (auto& [origin, mark] : entry.marks) mark = {mark.set, std::max(mark.set, mark.cleared), 0, {}};
+    for (auto& [origin, mark] : entry.marks) undo(mark);
     entry.changed = stamp(unix_now);
     auto& own = entry.marks[origin_];
     own = {origins_[origin_].number + 1, own.cleared, entry.changed, value};
@@ -215,7 +216,7 @@
     if (found == entries_.end() || !found->second.in_force()) return true;  // nothing to undo
     Entry entry = found->second;
     entry.changed = stamp(unix_now);
-    for (auto& [origin, mark] : entry.marks) mark = {mark.set, std::max(mark.set, mark.cleared), 0, {}};
+    for (auto& [origin, mark] : entry.marks) undo(mark);
     return change(key, entry);
 }
 
@@ -419,6 +420,11 @@
         counts_.sent += m.updates.size();
         out.push_back({in.from_address, std::move(m)});
     };
+    const auto fetch_if_too_old = [&] {
+        if (!in.too_old || copy_) return;
+        copy_ = Copy{in.from, {}, {}, {}, {}, now};
+        answer(message(ReplicaMessage::Kind::want));
+    };
     switch (in.kind) {
         case ReplicaMessage::Kind::sum: {
             auto m = message(ReplicaMessage::Kind::numbers);
@@ -444,19 +450,13 @@
             give(in, m);
             // The other's too_old is for us to act on, ours for it.
             if (!m.updates.empty() || m.too_old) answer(std::move(m));
-            if (in.too_old && !copy_) {
-                copy_ = Copy{in.from, {}, {}, {}, {}, now};
-                answer(message(ReplicaMessage::Kind::want));
-            }
+            fetch_if_too_old();
             return out;
         }
         case ReplicaMessage::Kind::take:
             take(in, unix_now);
             if (!in.last) next_round_ = now;
-            if (in.too_old && !copy_) {
-                copy_ = Copy{in.from, {}, {}, {}, {}, now};
-                answer(message(ReplicaMessage::Kind::want));
-            }
+            fetch_if_too_old();
             return out;
         case ReplicaMessage::Kind::news: take(in, unix_now); return out;
         case ReplicaMessage::Kind::want: answer(page(in.cursor)); return out;
@@ -474,8 +474,8 @@
 ReplicaMessage Replica::page(const std::string& cursor) const {
     auto m = message(ReplicaMessage::Kind::page);
     m.cursor = cursor;
-    if (cursor.empty()) { m.numbers = numbers(); }
-    // With each page, as more may be forgotten while the pages go out.
+    if (cursor.empty()) m.numbers = numbers();
+    // With each page: who takes them begins anew if it changed meanwhile.
     for (const auto& [name, origin] : origins_)
         if (origin.forgotten > 0) m.after.emplace(name, origin.forgotten);
     std::size_t bytes = 0;
--- a/src/cluster/wire.cpp
+++ b/src/cluster/wire.cpp
@@ -278,13 +278,8 @@
         m.seq = static_cast<std::uint32_t>(seq);
         m.target = text(at(o, 6), kLongestName);
         m.target_address = text(at(o, 7), kLongestAddress);
-        const auto& records = at(o, 8);
-        if (records.type != msgpack::type::ARRAY) return Trouble::undecodable;
-        if (records.via.array.size > (stream ? Message::kMostRecords : kMostDatagramRecords))
-            return Trouble::out_of_bounds;
-        m.records.reserve(records.via.array.size);
-        for (std::uint32_t i = 0; i < records.via.array.size; ++i)
-            m.records.push_back(record_of(records.via.array.ptr[i]));
+        each(at(o, 8), stream ? Message::kMostRecords : kMostDatagramRecords,
+             [&m](const msgpack::object& item) { m.records.push_back(record_of(item)); });
         m.digest = digest_of(at(o, 9));
         return m;
     } catch (const Bad& bad) { return bad.trouble; } catch (const msgpack::size_overflow&) {
