Share what routers learned of boxes: two reporters hold a box out on all, nobody alone

Each router found a dead box by its own lost requests, and one whose list came late went on sending to a draining box.

Change: a second replica on the peers' transport (channel 1, in memory, values age) holds reports, one key a box and reporter. src/cluster/voice says them (again before they age, not where four others do), src/cluster/hearsay decides what is heeded: two reporters alive, within hearsay_ms, never for over half of a zone's boxes, a drain for the same start only; who reports a box judges it by itself. The core shows such a box to the module as draining, checks it at the first byte, and counts it as just started when it is let in. src/brain.cpp untouched. The core now also gives each box the weight that counts, so that a zone's share can be steered later; without peers the module sees what it saw before. In a replica whose values age an origin of which nothing is held leaves the summary, and is forgotten after ten minutes: restarts would else reach the bound on origins.

--- /dev/null
+++ b/src/app/hearsay_part.cpp
@@ -0,0 +1,59 @@
+#include "app/hearsay_part.h"
+
+namespace silverrail::app {
+
+namespace {
+constexpr std::chrono::milliseconds kTick{100};
+// A box that is gone is told of for as long as another's list may well be late.
+constexpr auto kGoneToldFor = std::chrono::seconds{60};
+}  // namespace
+
+HearsayPart::HearsayPart(World world, const config::PeersSettings& settings, std::uint64_t seed)
+    : world_(world),
+      name_(settings.name),
+      hearsay_(settings.name, {.age = settings.hearsay_ms}, seed ^ 0xa0761d6478bd642fULL),
+      timer_(world.io) {}
+
+std::vector<cluster::SeenBox> HearsayPart::boxes() const {
+    using winchflow::Condition;
+    std::vector<cluster::SeenBox> out;
+    const auto now = world_.clock.now();
+    world_.engine.each_box([&](const core::Box& box, bool avoided) {
+        const bool gone = box.entry.condition == Condition::gone;
+        if (gone && (!box.barred || now > *box.barred + kGoneToldFor)) return;
+        out.push_back({box.entry.id.address, box.entry.zone, box.started_ms, avoided,
+                       box.entry.condition != Condition::ready});
+    });
+    return out;
+}
+
+void HearsayPart::tick() {
+    const auto step = hearsay_.tick(world_.peers.now(), world_.clock.unix_ms(), boxes(),
+                                    world_.reports.entries(), world_.peers.alive_names());
+    for (const auto& say : step.say) world_.reports.say(name_, say);
+    if (step.out != out_) {
+        out_ = step.out;
+        std::set<core::CacheId> ids;
+        for (const auto& id : out_) ids.insert(core::CacheId{id});
+        world_.engine.hold_out(std::move(ids));
+        world_.log.line("hearsay", R"({"held_out":%zu,"one":"%s"})", out_.size(),
+                        out_.empty() ? "" : out_.begin()->c_str());
+    }
+    timer_.expires_after(kTick);
+    timer_.async_wait([this](const net::error_code& error) {
+        if (!error) tick();
+    });
+}
+
+std::string HearsayPart::counters() {
+    const auto& c = hearsay_.counts();
+    const std::pair<const char*, std::uint64_t> figures[] = {
+        {"out", hearsay_.out()},  {"said", c.said},     {"taken_back", c.taken_back},
+        {"held_out", c.held_out}, {"let_in", c.let_in}, {"panics", c.panics}};
+    std::string out;
+    for (const auto& [name, value] : figures)
+        out += std::string{"hearsay."}.append(name) + " " + std::to_string(value) + "\n";
+    return out;
+}
+
+}  // namespace silverrail::app
--- a/src/app/peers_part.cpp
+++ b/src/app/peers_part.cpp
@@ -59,9 +59,11 @@
 
 std::vector<net::Peer::Send> PeersPart::received(const net::Peer::Message& message) {
     const auto* view = std::get_if<cluster::Message>(&message);
-    if (!view)
-        return replica_ ? replica_(std::get<cluster::ReplicaMessage>(message))
-                        : std::vector<net::Peer::Send>{};
+    if (!view) {
+        const auto& of_replica = std::get<cluster::ReplicaMessage>(message);
+        const auto handler = replicas_.find(of_replica.channel);
+        return handler == replicas_.end() ? std::vector<net::Peer::Send>{} : handler->second(of_replica);
+    }
     auto out = net::Peer::sends(members_.receive(*view, now()));
     logged();
     return out;
@@ -94,6 +96,13 @@
     return out;
 }
 
+std::set<std::string> PeersPart::alive_names() const {
+    std::set<std::string> out{members_.self().who.name};
+    for (const auto& [name, member] : members_.view())
+        if (member.record.state == cluster::State::alive) out.insert(name);
+    return out;
+}
+
 std::string PeersPart::members() const {
     std::string out;
     for (const auto& r : members_.records())
--- a/src/app/peers_part.h
+++ b/src/app/peers_part.h
@@ -2,7 +2,9 @@
 // src/net/peer, ticked by a timer. Made only where the settings have a `peers` section.
 #pragma once
 
+#include <map>
 #include <memory>
+#include <set>
 
 #include "app/part.h"
 #include "cluster/members.h"
@@ -25,10 +27,13 @@
     // region; then "--".
     std::string members() const;
 
-    // What else rides on the peers' transport: the replicated state's messages, and who they can go to.
-    void replicate(std::function<std::vector<net::Peer::Send>(const cluster::ReplicaMessage&)> handler) {
-        replica_ = std::move(handler);
-    }
+    // What else rides on the peers' transport: the messages of a replicated state, by its channel, and who
+    // they can go to.
+    using ReplicaHandler = std::function<std::vector<net::Peer::Send>(const cluster::ReplicaMessage&)>;
+    void replicate(std::uint8_t channel, ReplicaHandler handler) { replicas_[channel] = std::move(handler); }
+    const cluster::Members& view() const { return members_; }
+    // Names of the members alive, this one among them.
+    std::set<std::string> alive_names() const;
     void send(std::vector<net::Peer::Send> sends) { peer_.send(std::move(sends)); }
     std::vector<std::string> alive() const;
     cluster::Time now() const;  // since the start: the state machines' steady clock
@@ -46,7 +51,7 @@
     std::chrono::milliseconds every_;
     std::chrono::steady_clock::time_point began_ = std::chrono::steady_clock::now();
     bool stopped_ = false;
-    std::function<std::vector<net::Peer::Send>(const cluster::ReplicaMessage&)> replica_;
+    std::map<std::uint8_t, ReplicaHandler> replicas_;
 };
 
 }  // namespace silverrail::app
--- a/src/app/program.cpp
+++ b/src/app/program.cpp
@@ -11,6 +11,7 @@
 #include "app/control_part.h"
 #include "app/dns_part.h"
 #include "app/endpoint.h"
+#include "app/hearsay_part.h"
 #include "app/overlap.h"
 #include "app/peers_part.h"
 #include "app/replica_part.h"
@@ -129,6 +130,14 @@
                                               kept_file(sources_, config_, "replica"), config_.seed);
             replica = shared.get();
             parts_.push_back(std::move(shared));
+            const ReplicaPart::World of_reports{io_, *peers, clock_, log_};
+            auto reports = std::make_unique<ReplicaPart>(of_reports, settings_.peers, ReplicaPart::Ageing{},
+                                                         config_.seed);
+            if (settings_.peers.hearsay_ms > 0)
+                parts_.push_back(std::make_unique<HearsayPart>(
+                    HearsayPart::World{io_, engine_, *peers, *reports, clock_, log_}, settings_.peers,
+                    config_.seed));
+            parts_.push_back(std::move(reports));
         }
         if (!config_.control.empty()) {
             // Before the first list: what is out is out from the first request on.
--- a/src/app/replica_part.cpp
+++ b/src/app/replica_part.cpp
@@ -15,6 +15,22 @@
     return s;
 }
 
+// Reports age a minute after they were said; where they are used they count for less.
+cluster::ReplicaSettings ageing_of(const config::PeersSettings& p) {
+    cluster::ReplicaSettings s;
+    s.channel = 1;
+    s.interval = std::chrono::milliseconds{p.replica_ms};
+    s.value_keep = 60'000;
+    s.tombstone_keep = 120'000;
+    return s;
+}
+
+// An origin is a name and the time at which it was first used: whoever lost its store is another origin, so
+// that a number stands for one change only.
+std::string origin_of(const ReplicaPart::World& world, const config::PeersSettings& settings) {
+    return settings.name + "@" + std::to_string(world.clock.unix_ms());
+}
+
 }  // namespace
 
 ReplicaPart::Kept ReplicaPart::open(const std::string& file, const std::string& new_origin, Log& log) {
@@ -50,22 +66,27 @@
     }
 }
 
-// An origin is a name and the time at which it was first used: whoever lost its store is another origin, so
-// that a number stands for one change only.
 ReplicaPart::ReplicaPart(World world, const config::PeersSettings& settings, const std::string& file,
                          std::uint64_t seed)
-    : ReplicaPart(world, settings, seed,
-                  open(file, settings.name + "@" + std::to_string(world.clock.unix_ms()), world.log)) {}
+    : ReplicaPart(world, settings, settings_of(settings), "replica.", seed ^ 0x9e3779b97f4a7c15ULL,
+                  open(file, origin_of(world, settings), world.log)) {}
 
-ReplicaPart::ReplicaPart(World world, const config::PeersSettings& settings, std::uint64_t seed, Kept kept)
+ReplicaPart::ReplicaPart(World world, const config::PeersSettings& settings, Ageing, std::uint64_t seed)
+    : ReplicaPart(world, settings, ageing_of(settings), "reports.", seed ^ 0xd1b54a32d192ed03ULL,
+                  Kept{origin_of(world, settings)}) {}
+
+ReplicaPart::ReplicaPart(World world, const config::PeersSettings& settings,
+                         const cluster::ReplicaSettings& replica, const char* figures, std::uint64_t seed,
+                         Kept kept)
     : world_(world),
+      figures_(figures),
       store_(std::move(kept.store)),
       replica_(settings.name, settings.advertise.empty() ? settings.bind : settings.advertise, kept.origin,
-               settings_of(settings), seed ^ 0x9e3779b97f4a7c15ULL, cluster::Time{0}),
+               replica, seed, cluster::Time{0}),
       fresh_(kept.fresh),
       timer_(world.io) {
     if (store_) replica_.restore(std::move(kept.entries), std::move(kept.origins));
-    world_.peers.replicate([this](const cluster::ReplicaMessage& message) {
+    world_.peers.replicate(replica.channel, [this](const cluster::ReplicaMessage& message) {
         auto out = net::Peer::sends(replica_.receive(message, world_.peers.now(), world_.clock.unix_ms()));
         // What is not kept is not acknowledged either: the others ask again.
         if (!keep()) out.clear();
@@ -74,8 +95,8 @@
 }
 
 void ReplicaPart::start() {
-    world_.log.line("replica-start", R"({"origin":"%s","keys":%zu,"kept":%s})", replica_.origin().c_str(),
-                    replica_.entries().size(), store_ ? "true" : "false");
+    world_.log.line("replica-start", R"({"of":"%s","origin":"%s","keys":%zu,"kept":%s})", figures_,
+                    replica_.origin().c_str(), replica_.entries().size(), store_ ? "true" : "false");
     tick();
 }
 
@@ -93,7 +114,8 @@
             world_.log.line("replica-unkept", R"({"why":"%s"})", e.what());
         }
     const auto touched = replica_.take_touched();
-    if (!touched.empty() && touched_) touched_(touched);
+    if (!touched.empty())
+        for (const auto& tell : touched_) tell(touched);
     return kept;
 }
 
@@ -117,6 +139,12 @@
     return keep() && done;
 }
 
+void ReplicaPart::say(const std::string& reporter, const cluster::Voice::Say& say) {
+    const auto key = cluster::report_key(say.subject, reporter);
+    if (key.empty()) return;
+    (void)(say.value ? set(key, *say.value) : clear(key));
+}
+
 std::string ReplicaPart::digest() const {
     auto numbers = replica_.numbers();
     for (const auto& [origin, number] : replica_.heard()) numbers.try_emplace(origin, 0);
@@ -133,8 +161,8 @@
 std::string ReplicaPart::counters() {
     const auto& c = replica_.counts();
     std::string out;
-    const auto put = [&out](const char* name, std::uint64_t value) {
-        out += std::string{"replica."}.append(name) + " " + std::to_string(value) + "\n";
+    const auto put = [&](const char* name, std::uint64_t value) {
+        out += std::string{figures_}.append(name) + " " + std::to_string(value) + "\n";
     };
     put("keys", replica_.entries().size());
     put("origins", replica_.origins().size());
--- a/src/cluster/replica.cpp
+++ b/src/cluster/replica.cpp
@@ -98,7 +98,12 @@
 
 void Replica::summarise() {
     summary_ = {};
-    for (const auto& [name, origin] : origins_) summary_[bucket_of(name)] ^= mark(name, origin.number);
+    for (const auto& [name, origin] : origins_) summary_[bucket_of(name)] ^= counted(name, origin);
+}
+
+// What an origin adds to the summary.
+std::uint64_t Replica::counted(const std::string& name, const Origin& origin) const {
+    return settings_.value_keep > 0 && origin.log.empty() ? 0 : mark(name, origin.number);
 }
 
 bool Replica::in_force(const std::string& key) const { return value(key) != nullptr; }
@@ -168,14 +173,21 @@
 
 void Replica::advance(const std::string& name, Origin& origin, std::uint64_t number) {
     if (number <= origin.number) return;
-    auto& sum = summary_[bucket_of(name)];
-    sum ^= mark(name, origin.number) ^ mark(name, number);
     origin.number = number;
+    origin.advanced = unix_of(last_);
     changes_.origins.insert(name);
 }
 
 void Replica::number(const std::string& name, std::uint64_t number, const std::string& key, bool partial) {
     auto& origin = origins_[name];
+    auto& sum = summary_[bucket_of(name)];
+    sum ^= counted(name, origin);
+    record(name, origin, number, key, partial);
+    sum ^= counted(name, origin);
+}
+
+void Replica::record(const std::string& name, Origin& origin, std::uint64_t number, const std::string& key,
+                     bool partial) {
     const bool gone = !entries_.contains(key);
     if (gone || partial) {
         origin.forgotten = std::max(origin.forgotten, number);
@@ -280,6 +292,8 @@
         const auto theirs = in.numbers.find(name);
         const auto have = theirs == in.numbers.end() ? 0 : theirs->second;
         if (have >= origin.number) continue;
+        // Of what ages nothing is left of it here, and the other's copies end by the clock.
+        if (settings_.value_keep > 0 && origin.log.empty()) continue;
         if (have < origin.forgotten) {
             out.too_old = true;
             continue;
@@ -326,10 +340,12 @@
         std::erase_if(entry.marks, [&](const auto& item) {
             const auto& [origin, mark] = item;
             // Everybody lets go of an aged value by the clock. What is undone goes only once its set was seen
-            // here: coming later, it would be in force.
-            const bool go = mark.live() ? settings_.value_keep > 0 &&
-                                              unix_now - unix_of(mark.stamp) > settings_.value_keep
-                                        : age > settings_.tombstone_keep && known(origin, mark.cleared);
+            // here: coming later, it would be in force; where values age it would be past its time.
+            const bool ages = settings_.value_keep > 0;
+            const bool go = mark.live()
+                                ? ages && unix_now - unix_of(mark.stamp) > settings_.value_keep
+                                : age > settings_.tombstone_keep &&
+                                      (known(origin, mark.cleared) || (ages && age > settings_.value_keep));
             any |= go;
             undone |= go && !mark.live();
             return go;
@@ -358,6 +374,14 @@
         ++counts_.forgotten;
         it = entries_.erase(it);
     }
+    if (settings_.value_keep == 0) return;
+    // Guards the bound on origins: of runs that ended nothing else would ever go.
+    std::erase_if(origins_, [&](const auto& item) {
+        const auto& [name, origin] = item;
+        return name != origin_ && origin.log.empty() && unix_now - origin.advanced > settings_.origin_keep;
+    });
+    std::erase_if(heard_, [this](const auto& item) { return !origins_.contains(item.first); });
+    summarise();
 }
 
 std::vector<ReplicaSend> Replica::tick(Time now, UnixMs unix_now, const std::vector<std::string>& peers) {
@@ -549,6 +573,7 @@
     for (const auto& [name, number] : copy.numbers) {
         if (origins_.size() >= settings_.most_origins && !origins_.contains(name)) continue;
         auto& origin = origins_[name];
+        if (number > origin.number) origin.advanced = unix_of(last_);
         origin.number = std::max(origin.number, number);
     }
     for (const auto& u : copy.updates) {
--- a/src/cluster/replica.h
+++ b/src/cluster/replica.h
@@ -118,7 +118,11 @@
     std::uint8_t channel = 0;
     Time interval{1000};                 // one exchange with one member
     UnixMs tombstone_keep = 86'400'000;  // the longest time away that catches up by updates alone
-    UnixMs value_keep = 0;               // what is in force is forgotten after this, too; 0: never
+    // What is in force is forgotten after this, too; 0: never. Above 0 every run is an origin of its own
+    // (nothing is stored), so one of which nothing is held any more counts in no summary, and goes after
+    // origin_keep.
+    UnixMs value_keep = 0;
+    UnixMs origin_keep = 600'000;
     UnixMs most_ahead = 10'000;          // a stamp further ahead of our clock is refused
     std::size_t round_bytes = 64 << 10;  // of updates in one message
     std::size_t most_entries = 20'000;
@@ -173,6 +177,7 @@
         std::map<std::uint64_t, std::string>
             log;  // number to key: the last change of that key by this origin
         std::map<std::string, std::uint64_t> where;  // and back
+        UnixMs advanced = 0;                         // about when its number last rose here; not stored
     };
     const std::map<std::string, Origin>& origins() const { return origins_; }
     // Takes up what was stored, before anything else is called.
@@ -188,7 +193,10 @@
     Merged merge(const std::string& key, const Entry& entry);
     // `partial`: what is held of the key is less than the change said, so it can't be told on from here.
     void number(const std::string& origin, std::uint64_t number, const std::string& key, bool partial);
+    void record(const std::string& name, Origin& origin, std::uint64_t number, const std::string& key,
+                bool partial);
     void advance(const std::string& name, Origin& origin, std::uint64_t number);
+    std::uint64_t counted(const std::string& name, const Origin& origin) const;
     bool change(const std::string& key, const Entry& entry);
     void take(const ReplicaMessage& in, UnixMs unix_now);
     bool known(const std::string& origin, std::uint64_t number) const;
--- a/src/config/operator.cpp
+++ b/src/config/operator.cpp
@@ -95,6 +95,8 @@
     p.suspicion_max_mult = s.number("suspicion_max_mult", p.suspicion_max_mult, 1, 100);
     p.replica_ms = s.whole("replica_ms", p.replica_ms, 50, 60'000);
     p.tombstone_keep_ms = s.whole("tombstone_keep_ms", p.tombstone_keep_ms, 10'000, 30 * 86'400'000LL);
+    p.hearsay_ms = s.whole("hearsay_ms", p.hearsay_ms, 0, 30'000);
+    if (p.hearsay_ms > 0 && p.hearsay_ms < 1'000) s.wrong("hearsay_ms", "0, or 1000 to 30000");
     if (p.bind.empty()) s.wrong("bind", "needed: where the peers' port is");
     if (p.name.empty() || p.name.size() > 64) s.wrong("name", "needed, of 1 to 64 bytes");
     if (p.zone.size() > 32) s.wrong("zone", "at most 32 bytes");
--- a/src/config/operator.h
+++ b/src/config/operator.h
@@ -67,6 +67,8 @@
     double suspicion_max_mult = 6;
     std::int64_t replica_ms = 1000;
     std::int64_t tombstone_keep_ms = 86'400'000;
+    std::int64_t hearsay_ms =
+        10'000;  // what others learned of boxes counts for so long; 0: nothing is shared
     bool on() const { return !bind.empty(); }
     bool operator==(const PeersSettings&) const = default;
 };
--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -12,6 +12,16 @@
 constexpr Span kNotAdmittedHoldOff = std::chrono::milliseconds{200};
 // The usual reason is a purge, and its age bound falls away within seconds.
 constexpr Span kNotCarriedHoldOff = std::chrono::milliseconds{1000};
+
+constexpr std::size_t kMostZones = 64;  // that sends are counted for
+
+using winchflow::Condition;
+
+// The core gives each box the weight that counts, so that a share of a zone can be told as a part of it.
+winchflow::Settings weighted(winchflow::Settings settings) {
+    settings.weights = winchflow::Weights::nominal;
+    return settings;
+}
 }  // namespace
 
 Engine::Engine(winchflow::Settings settings, std::uint64_t seed, std::size_t most_open, const Clock& clock,
@@ -21,11 +31,12 @@
       timers_(timers),
       sender_(sender),
       log_(log),
+      fleet_(settings_),
       purges_(settings_.cleared_within + settings_.heed_within + std::chrono::seconds{1}),
       take_in_(settings_),
       admit_(most_open),
       hold_(settings_, purges_, counters_),
-      route_(settings_, seed),
+      route_(weighted(settings_), seed),
       send_(fleet_, purges_),
       relay_(counters_),
       book_(counters_) {
@@ -57,7 +68,7 @@
         std::count_if(open_.begin(), open_.end(), [](const auto& e) { return !e.second.answered(); }));
     counters_.hosts_listed = fleet_.count_listed([](const Box&) { return true; });
     counters_.hosts_down = fleet_.count_listed(
-        [&](const Box& box) { return bans().contains(box.entry.id) || route_.avoids(box.entry.id); });
+        [&](const Box& box) { return fleet_.kept_out(box) || route_.avoids(box.entry.id); });
     return counters_;
 }
 
@@ -148,23 +159,39 @@
 }
 
 void Engine::set_bans(const members::Bans& bans) {
-    const members::Bans before = fleet_.bans();
-    fleet_.set_bans(bans);
-    BoxChange change;
-    for (const CacheId& id : bans.ids()) {
-        const Box* box = before.contains(id) ? nullptr : fleet_.find(id);
-        if (!box) continue;
-        sender_.forget(id);
-        change.boxes.push_back(*box);
-    }
-    for (const CacheId& id : before.ids()) {
-        const Box* box = bans.contains(id) ? nullptr : fleet_.find(id);
-        if (!box) continue;
-        change.boxes.push_back(*box);
+    restate([&] { fleet_.set_bans(bans); });
+}
+
+void Engine::hold_out(std::set<CacheId> ids) {
+    restate([&] { fleet_.hold_out(std::move(ids)); });
+}
+
+void Engine::steer(const Steering& steering) {
+    restate([&] { fleet_.steer(steering); });
+}
+
+// Tells the module of every box that it is to see otherwise than before, whatever the list says of it.
+void Engine::restate(const std::function<void()>& change) {
+    std::map<CacheId, winchflow::ListedCache> before;
+    for (const auto& [id, box] : fleet_.boxes()) before.emplace(id, fleet_.entry(box));
+    change();
+    BoxChange told;
+    for (const auto& [id, box] : fleet_.boxes()) {
+        const auto& was = before.at(id);
+        const auto is = fleet_.entry(box);
+        const bool out = is.condition != was.condition && is.condition != Condition::ready;
+        const bool back = is.condition != was.condition && is.condition == Condition::ready;
+        if (!out && !back && is.zone == was.zone && is.weight == was.weight) continue;
+        if (out) sender_.forget(id);
+        told.boxes.push_back(box);
         // Guards rule 4: out, it may have been restarted, whatever the list says of its start.
-        change.boxes.back().entry.up_since = clock_.now();
+        if (back) told.boxes.back().entry.up_since = clock_.now();
     }
-    if (!change.boxes.empty()) tell_list(change);
+    if (!told.boxes.empty()) tell_list(told);
+}
+
+void Engine::each_box(const std::function<void(const Box&, bool avoided)>& see) const {
+    for (const auto& [id, box] : fleet_.boxes()) see(box, route_.avoids(id));
 }
 
 void Engine::tell_list(const BoxChange& change) {
@@ -222,6 +249,10 @@
     }
     if (open.call->referred) return refer(open, *order);
     ++counters_.sent;
+    const Box* target = fleet_.find(order->target);
+    if (target && fleet_.is_cache(*target) && target->entry.zone != fleet_.zone() &&
+        (sent_away_.size() < kMostZones || sent_away_.contains(target->entry.zone)))
+        ++sent_away_[target->entry.zone];
     open.attempts.back().timer = timers_.at(order->give_up, [this, key] { timed_out(key); });
     open.attempts.back().order = *order;
     sender_.start(std::move(*order), *this);
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -2,6 +2,9 @@
 #pragma once
 
 #include <deque>
+#include <functional>
+#include <map>
+#include <set>
 
 #include "core/admit.h"
 #include "core/book.h"
@@ -43,6 +46,16 @@
     // Takes out by hand what `bans` names and was not out, and back what it names no more.
     void set_bans(const members::Bans& bans);
     const members::Bans& bans() const { return fleet_.bans(); }
+    // Keeps away from these on the word of other routers, and from no others that it kept away from so.
+    void hold_out(std::set<CacheId> ids);
+    // From here on requests go to the zones that are named, in these parts.
+    void steer(const Steering& steering);
+    // Every box that is known, with: is it avoided by this router itself?
+    void each_box(const std::function<void(const Box&, bool avoided)>& see) const;
+    bool is_cache(const Box& box) const { return fleet_.is_cache(box); }
+    const std::string& zone() const { return fleet_.zone(); }
+    // Attempts ordered to caches of other zones, by zone.
+    const std::map<std::string, std::uint64_t>& sent_away() const { return sent_away_; }
     bool lists(const CacheId& box) const;
 
     std::size_t open() const { return open_.size(); }
@@ -60,6 +73,7 @@
     void ended(const AttemptKey& key, AttemptEnd end) override;
 
     void tell_list(const BoxChange& change);
+    void restate(const std::function<void()>& change);
     void tell(winchflow::Event event);
     void observe(const winchflow::Event& event, const std::vector<winchflow::Action>& actions);
     void turn_away(OpenCall& open, const Call& call, std::optional<std::size_t> class_index, Answer answer);
@@ -91,6 +105,7 @@
     Send send_;
     Relay relay_;
     Book book_;
+    std::map<std::string, std::uint64_t> sent_away_;
     Observer* observer_ = nullptr;
     Origin origin_;  // of the list or purge that is being applied
     std::deque<winchflow::Event> events_;
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -36,10 +36,27 @@
     return dropped;
 }
 
+bool Fleet::is_cache(const Box& box) const {
+    return box.entry.kind != origin_kind_ && (parent_kind_.empty() || box.entry.kind != parent_kind_);
+}
+
+bool Fleet::kept_out(const Box& box) const {
+    if (bans_.contains(box.entry.id) || held_out_.contains(box.entry.id)) return true;
+    if (steering_.empty() || box.entry.zone != zone_ || !is_cache(box)) return false;
+    const auto factor = steering_.find(zone_);
+    return factor == steering_.end() || factor->second <= 0;
+}
+
 winchflow::ListedCache Fleet::entry(const Box& box) const {
     winchflow::ListedCache entry = box.entry;
-    if (bans_.contains(entry.id) && entry.condition == winchflow::Condition::ready)
+    if (!weighted_) entry.weight = 1;
+    if (kept_out(box) && entry.condition == winchflow::Condition::ready)
         entry.condition = winchflow::Condition::draining;
+    if (const auto factor = steering_.find(entry.zone);
+        factor != steering_.end() && factor->second > 0 && is_cache(box)) {
+        entry.zone = zone_;
+        entry.weight *= factor->second;
+    }
     return entry;
 }
 
@@ -50,7 +67,7 @@
 
 bool Fleet::may_be_named(const CacheId& id, Time now) const {
     const Box* box = find(id);
-    return box && !bans_.contains(id) && (!box->barred || now < *box->barred + kBarredFor);
+    return box && !kept_out(*box) && (!box->barred || now < *box->barred + kBarredFor);
 }
 
 }  // namespace silverrail::core
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -22,14 +23,35 @@
     std::vector<Box> boxes;
 };
 
+// How much of each zone's boxes counts for this router, as the fleet has decided in common: a factor on their
+// weight. Empty: only those of its own zone, as listed. A zone with a factor is as its own, one with 0 or,
+// where any is named, none at all gets nothing: the own zone too. Hub caches and stores are not steered.
+using Steering = std::map<std::string, double>;
+
 class Fleet {
 public:
+    // What of the module's settings tells boxes apart; all the same: without it nothing is steered.
+    Fleet() = default;
+    explicit Fleet(const winchflow::Settings& settings)
+        : zone_(settings.zone),
+          parent_kind_(settings.parent_kind),
+          origin_kind_(settings.origin_kind),
+          weighted_(settings.weights == winchflow::Weights::nominal) {}
+
     // The ids of the boxes whose open connections are void: gone, restarted or moved.
     std::vector<CacheId> apply(const BoxChange& change, Time now);
     // Out by hand, whatever the list says of them, also of ids that it does not name.
     void set_bans(members::Bans bans) { bans_ = std::move(bans); }
     const members::Bans& bans() const { return bans_; }
-    // As the module is to see it: one that is out gets nothing new.
+    // Out on the word of other routers, until they say otherwise.
+    void hold_out(std::set<CacheId> ids) { held_out_ = std::move(ids); }
+    void steer(Steering steering) { steering_ = std::move(steering); }
+    // Out by hand, by hearsay or with its zone, whatever the list says.
+    bool kept_out(const Box& box) const;
+    bool is_cache(const Box& box) const;  // neither hub cache nor store
+    const std::string& zone() const { return zone_; }
+    const std::map<CacheId, Box>& boxes() const { return boxes_; }
+    // As the module is to see it: one that is out gets nothing new. The weight is the one that counts.
     winchflow::ListedCache entry(const Box& box) const;
     const Box* find(const CacheId& id) const;
     // A new send that names the box, as target or as source, is still in time at `now`.
@@ -57,6 +79,10 @@
     static constexpr std::size_t kGoneKept = 256;
     std::map<CacheId, Box> boxes_;
     members::Bans bans_;
+    std::set<CacheId> held_out_;
+    Steering steering_;
+    std::string zone_, parent_kind_, origin_kind_;
+    bool weighted_ = true;
 };
 
 }  // namespace silverrail::core
--- a/src/lab/fleet.cpp
+++ b/src/lab/fleet.cpp
@@ -7,6 +7,9 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <algorithm>
+#include <cstdio>
+#include <cstdlib>
 #include <fstream>
 #include <sstream>
 
@@ -89,26 +92,43 @@
     if (pids_.at(i) > 0) kill(i);
     const auto dir = folder_ / name(i);
     std::filesystem::create_directories(dir);
+    const bool placed = !options_.places.empty();
+    const std::string own = placed ? options_.places.at(i).zone : "edge-1";
+    std::vector<Options::ListedBox> listed;
+    if (options_.boxes)
+        listed = options_.boxes(i);
+    else
+        for (std::size_t k = 0; k < kBoxes; ++k)
+            listed.push_back({box(k), "127.0.0.1:" + std::to_string(1 + k), "edge-1"});
     std::string boxes;
-    for (std::size_t k = 0; k < kBoxes; ++k) {
-        boxes += k ? R"(,{"id":")" : R"({"id":")";
-        boxes += box(k) + R"(","addr":"127.0.0.1:)" + std::to_string(1 + k);
-        boxes +=
-            R"(","zone":"edge-1","kind":"small-box","cell":1,"state":"active","weight":10,"started_ms":0})";
+    for (const auto& b : listed) {
+        boxes += boxes.empty() ? R"({"id":")" : R"(,{"id":")";
+        boxes += b.id + R"(","addr":")" + b.address + R"(","zone":")" + b.zone + R"(","kind":")" + b.kind;
+        boxes += R"(","cell":1,"state":")" + b.state + R"(","weight":10,"started_ms":0})";
     }
+    std::size_t in_zone = options_.members;
+    if (placed)
+        in_zone = static_cast<std::size_t>(
+            std::count_if(options_.places.begin(), options_.places.end(),
+                          [&own](const Options::Place& p) { return p.zone == own; }));
     std::ofstream{dir / "config.json"}
         << R"({"name":")" << name(i) << R"(","listen":")" << http(i) << R"(","seed":")" << (options_.seed + i)
         << R"(","bulletin":"","limits":{"sockets":256,"memory_mb":64},"flow_bytes_per_s":1e6,)"
         << R"("link_bytes_per_s":4e6,"known":{"no":1,"items":[{"no":1,"roster":{"full":true,"servers":[)"
         << boxes << R"(]}}]},"settings":{"allowed":{"cancel":true,"connect-timeout":400000000,)"
         << R"("conn-idle":15000000000,"retry-after":true,"max-retry-after":500000000,"try-limit":6},"classes":[)"
-        << R"({"name":"pages","aim":250000000,"give-up":5000000000,"effect":"pure"}],"zone":"edge-1",)"
-        << R"("dcs":["edge-1"],"weights":"rough","kinds":["small-box"],"family-info":{"second-tier-kind":1,)"
-        << R"("origin-kind":2,"uncached":[false,true]},"invariants":{}}})";
-    std::ofstream{dir / "settings.json"} << R"({"peers":{"name":")" << name(i) << R"(","zone":"z)" << (i % 3)
-                                         << R"(","region":"r1","bind":")" << peer_address(i)
-                                         << R"(","advertise":")" << relay_.address(i) << R"(","seeds":[")"
-                                         << relay_.address(0) << R"("])" << options_.peers_extra << "}}";
+        << R"({"name":"pages","aim":250000000,"give-up":5000000000,"effect":"pure"},)"
+        << R"({"name":"lodge","aim":700000000,"give-up":5000000000,"effect":"side_effect"}],"zone":")" << own
+        << R"(","dcs":[")" << own << R"("],"weights":"rough","balancers":)" << options_.members
+        << R"(,"kinds":["small-box","parent","origin"],"family-info":{"second-tier-kind":1,"origin-kind":2,)"
+        << R"("zone-balancers":[)" << in_zone << R"(],"uncached":[false,true],"detail":"all"},"invariants":)"
+        << options_.rules << "}}";
+    std::ofstream{dir / "settings.json"} << R"({"peers":{"name":")" << name(i) << R"(","zone":")"
+                                         << (placed ? own : "z" + std::to_string(i % 3)) << R"(","region":")"
+                                         << (placed ? options_.places[i].region : "r1") << R"(","bind":")"
+                                         << peer_address(i) << R"(","advertise":")" << relay_.address(i)
+                                         << R"(","seeds":[")" << relay_.address(0) << R"("])"
+                                         << options_.peers_extra << "}}";
     int fds[2];
     if (::pipe2(fds, O_CLOEXEC) != 0) throw std::runtime_error("no pipe");
     const pid_t pid = ::fork();
@@ -167,6 +187,24 @@
     return talk(control_ports_.at(i), line + "\n");
 }
 
+int Fleet::ask(std::size_t i, const std::string& class_name, std::uint64_t object, std::string* id) {
+    const bool write = class_name == "lodge";
+    char call_id[17];
+    std::snprintf(call_id, sizeof call_id, "f1ee%012llx", static_cast<unsigned long long>(++asked_));
+    if (id) *id = call_id;
+    char path[64];
+    std::snprintf(path, sizeof path, "/%016llx/piece-0", static_cast<unsigned long long>(object));
+    const auto text =
+        talk(http_ports_.at(i), (write ? "PUT /ops/" : "GET /ops/") + class_name + path +
+                                    " HTTP/1.1\r\nHost: fleet\r\nTrace-Id: " + call_id +
+                                    "\r\nMax-Wait-Ms: 1500\r\nX-Lot: 1\r\n" + "Connection: close\r\n" +
+                                    (write ? "Content-Length: 9\r\n\r\ntimesheet" : "\r\n"));
+    const std::string_view kHead = "HTTP/1.1 ";
+    if (text.rfind(kHead, 0) != 0) return 0;
+    if (text.find(kHead, kHead.size()) != std::string::npos) return -1;
+    return std::atoi(text.c_str() + kHead.size());
+}
+
 std::map<std::string, std::uint64_t> Fleet::digest(std::size_t i) {
     std::map<std::string, std::uint64_t> out;
     std::istringstream lines{call(i, "REPLICA")};
--- a/src/lab/fleet.h
+++ b/src/lab/fleet.h
@@ -32,6 +32,17 @@
         std::string program;      // the silverrail binary
         std::string peers_extra;  // more keys of the peers section, as JSON text starting with a comma
         std::uint64_t seed = 1;
+        // Where each member stands; empty: zones z0 to z2 of region r1, and all of them clients' zone edge-1.
+        struct Place {
+            std::string zone, region;
+        };
+        std::vector<Place> places{};
+        // The boxes in member i's list; absent: forty of zone edge-1 that nobody listens for.
+        struct ListedBox {
+            std::string id, address, zone, kind = "small-box", state = "active";
+        };
+        std::function<std::vector<ListedBox>(std::size_t)> boxes{};
+        std::string rules = "{}";  // the settings' `invariants`, as JSON text
     };
     explicit Fleet(Options options);
     ~Fleet();
@@ -58,6 +69,9 @@
     std::map<std::string, std::uint64_t> counters(std::size_t i);
     // REPLICA of member i: origin to the number held; empty if it does not answer.
     std::map<std::string, std::uint64_t> digest(std::size_t i);
+    // A read (or, of class lodge, a write) by a client of member i; the status, 0: no answer, -1: more than
+    // one answer. `id`, if not null, is given the client's id.
+    int ask(std::size_t i, const std::string& class_name, std::uint64_t object, std::string* id = nullptr);
     // The boxes in the list that every member is given: "b-0" to "b-39".
     static constexpr std::size_t kBoxes = 40;
     static std::string box(std::size_t k) { return std::string{"b-"}.append(std::to_string(k)); }
@@ -81,6 +95,7 @@
     std::vector<pid_t> pids_;
     std::vector<int> pipes_;
     std::vector<std::string> logs_;
+    std::uint64_t asked_ = 0;
     std::vector<unsigned short> peer_ports_, http_ports_, control_ports_;
 };
 
--- a/tests/fleet/fleet_test.cpp
+++ b/tests/fleet/fleet_test.cpp
@@ -1,6 +1,7 @@
 // Several real processes of the program, their peer traffic through the fault relay: joins, a crash, a stall,
 // bad links, a partition and its healing, a restart under the same name, many joining at once, and bad peers.
-// One scenario a run, named by the first argument, so that ctest runs them side by side.
+// What was shared of bans, boxes and drains. One scenario a run, named by the first argument, so that ctest
+// runs them side by side.
 #include "lab/fleet.h"
 
 #include <signal.h>
@@ -14,6 +15,7 @@
 
 #include "../silverrail/check.h"
 #include "cluster/wire.h"
+#include "lab/farm.h"
 #include "net/peer.h"
 
 using namespace silverrail;
@@ -338,6 +340,97 @@
     CHECK(fleet.call(0, "HEALTH").rfind("ACK", 0) == 0);
 }
 
+// Eight routers before six boxes of one zone.
+lab::Fleet::Options before(const lab::Farm& farm, std::size_t leaving_for) {
+    auto o = options(8);
+    o.boxes = [&farm, leaving_for](std::size_t i) {
+        std::vector<Fleet::Options::ListedBox> out;
+        for (std::size_t k = 0; k < 6; ++k)
+            out.push_back({Fleet::box(k), farm.address(k, i), "edge-1", "small-box",
+                           k == 2 && i < leaving_for ? "leaving" : "active"});
+        return out;
+    };
+    return o;
+}
+
+// Members `first` to below `to` are asked for `count` objects each; all are answered, once. Objects anew each
+// time: a router has copies of its own.
+void ask_all(Fleet& fleet, std::size_t first, std::size_t to, std::uint64_t count) {
+    static std::uint64_t object = 0;
+    for (std::size_t i = first; i < to; ++i)
+        for (std::uint64_t k = 0; k < count; ++k) CHECK(fleet.ask(i, "pages", ++object) == 200);
+}
+
+// What two routers learned of a box holds the others off it; what one learned moves nobody.
+void learned() {
+    lab::Farm farm{6, 8};
+    Fleet fleet{before(farm, 0)};
+    start_all(fleet, 0, 8);
+    CHECK(fleet.wait_until([&] { return fleet.agree(); }, 3s));
+    ask_all(fleet, 0, 8, 40);
+    CHECK(farm.asked_since({1}, {}) > 8);
+    // Router 0's link alone: it keeps away by itself, the others go on.
+    farm.set_link(1, 0, false);
+    ask_all(fleet, 0, 1, 60);
+    CHECK(fleet.wait_until([&] { return fleet.counters(7)["reports.keys"] >= 1; }, 2s));
+    const auto one = std::chrono::steady_clock::now();
+    ask_all(fleet, 1, 8, 40);
+    CHECK(farm.asked_since({1}, one) > 7);
+    for (std::size_t i = 1; i < 8; ++i) CHECK(fleet.counters(i)["hearsay.held_out"] == 0);
+    // Router 1's too: now it is more than one link.
+    farm.set_link(1, 1, false);
+    ask_all(fleet, 1, 2, 60);
+    const auto two = std::chrono::steady_clock::now();
+    const auto held = [&](std::size_t out) {
+        for (std::size_t i = 2; i < 8; ++i)
+            if (fleet.counters(i)["hearsay.out"] != out) return false;
+        return true;
+    };
+    CHECK(fleet.wait_until([&] { return held(1); }, 2s));
+    std::printf("learned: the other six keep away after %lld ms\n", since(two));
+    const auto away = std::chrono::steady_clock::now();
+    ask_all(fleet, 2, 8, 40);
+    CHECK(farm.asked_since({1}, away) == 0);
+    // Both links back: their trials succeed, they take their word back, and the box is used again.
+    farm.set_link(1, 0, true);
+    farm.set_link(1, 1, true);
+    CHECK(fleet.wait_until(
+        [&] {
+            ask_all(fleet, 0, 2, 20);
+            return held(0);
+        },
+        12s));
+    const auto back = std::chrono::steady_clock::now();
+    ask_all(fleet, 2, 8, 60);
+    CHECK(farm.asked_since({1}, back) > 6);
+    // A reporter killed is no reporter: its word ends with it.
+    farm.set_link(1, 0, false);
+    farm.set_link(1, 1, false);
+    ask_all(fleet, 0, 2, 60);
+    CHECK(fleet.wait_until([&] { return held(1); }, 2s));
+    fleet.kill(0);
+    CHECK(fleet.wait_until([&] { return held(0); }, 8s));
+}
+
+// Two routers were told that a box drains, the others were not yet: nothing new goes there from any.
+void drains() {
+    lab::Farm farm{6, 8};
+    Fleet fleet{before(farm, 2)};
+    start_all(fleet, 0, 8);
+    const auto began = std::chrono::steady_clock::now();
+    CHECK(fleet.wait_until(
+        [&] {
+            for (std::size_t i = 2; i < 8; ++i)
+                if (fleet.counters(i)["hearsay.out"] != 1) return false;
+            return true;
+        },
+        5s));
+    std::printf("drains: held out by all %lld ms after the start\n", since(began));
+    const auto told = std::chrono::steady_clock::now();
+    ask_all(fleet, 0, 8, 40);
+    CHECK(farm.asked_since({2}, told) == 0 && farm.asked_since({0, 1, 3, 4, 5}, told) == 8 * 40);
+}
+
 std::size_t descriptors(pid_t pid) {
     std::size_t n = 0;
     for ([[maybe_unused]] const auto& e :
@@ -418,7 +511,9 @@
                       {"catch_up", catch_up},
                       {"split_bans", split_bans},
                       {"damaged_store", damaged_store},
-                      {"bad_updates", bad_updates}};
+                      {"bad_updates", bad_updates},
+                      {"learned", learned},
+                      {"drains", drains}};
     for (const auto& s : kScenarios)
         if (argc > 1 && std::strcmp(argv[1], s.name) == 0) {
             s.run();
