Decide a zone's failover in common: a state machine with quorum, epochs, steps and damping

Each router reacted to what it saw alone; a real zone loss was learned a router at a time.

Change: src/cluster/failover, without I/O. Health of a zone is the median over its witnesses' reports; with a majority of the region's configured routers in view one of them, by a rank that each epoch deals anew, writes the next numbered decision into the replicated state, the next rank if nobody did within a slot. Spill goes within the region first, then to the next one, as far as zones have to spare (1.4 times their healthy part less what others send there); out in steps of half but at once where nothing is healthy, back in quarters, one change a hold-down, the way back doubled each time the zone fails again. factors() makes of the decisions what each zone's boxes count for, so that the routers of host and guest zones together stay within a box's bounds. Nothing uses it yet.

--- /dev/null
+++ b/src/cluster/failover.cpp
@@ -0,0 +1,333 @@
+#include "cluster/failover.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <numeric>
+#include <sstream>
+
+#include "cluster/hash.h"
+
+namespace silverrail::cluster {
+
+namespace {
+
+// A gap between two calls this long means that the process did not run: what it knows is old.
+constexpr Time kGap{1000};
+constexpr Time kSettle{1000};
+constexpr std::size_t kLastTurn = 9;  // further ranks write in the same slot
+constexpr int kMostDamp = 8;
+const std::string kReports = "zone/";
+
+int number_of(std::string_view text, int most) {
+    int n = -1;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), n);
+    return error == std::errc{} && end == text.data() + text.size() && n >= 0 && n <= most ? n : -1;
+}
+
+double ratio(const std::map<std::string, double>& weights, const std::string& of, const std::string& to) {
+    const auto a = weights.find(of), b = weights.find(to);
+    return a == weights.end() || b == weights.end() || a->second <= 0 || b->second <= 0
+               ? 1
+               : a->second / b->second;
+}
+
+}  // namespace
+
+int Decision::out() const {
+    return std::accumulate(targets.begin(), targets.end(), 0,
+                           [](int sum, const auto& target) { return sum + target.second; });
+}
+
+std::string text_of(const Decision& d) {
+    std::string out = std::to_string(d.epoch);
+    for (const auto& [zone, part] : d.targets) out += " " + zone + "=" + std::to_string(part);
+    return out;
+}
+
+std::optional<Decision> decision_of(const std::string& text) {
+    std::istringstream words{text};
+    Decision d;
+    std::string word;
+    if (!(words >> word)) return std::nullopt;
+    const auto [end, error] = std::from_chars(word.data(), word.data() + word.size(), d.epoch);
+    if (error != std::errc{} || end != word.data() + word.size() || d.epoch == 0) return std::nullopt;
+    while (words >> word) {
+        const auto at = word.rfind('=');
+        if (at == std::string::npos || at == 0 || d.targets.size() >= FailoverSettings::kMostTargets)
+            return std::nullopt;
+        const int part = number_of(std::string_view{word}.substr(at + 1), 100);
+        if (part <= 0 || !d.targets.emplace(word.substr(0, at), part).second) return std::nullopt;
+    }
+    if (d.out() > 100) return std::nullopt;
+    return d;
+}
+
+Decision in_force(const Entry* entry) {
+    Decision out;
+    if (!entry) return out;
+    for (const auto& [origin, mark] : entry->marks) {
+        if (!mark.live()) continue;
+        auto d = decision_of(mark.value);
+        if (!d || d->epoch < out.epoch || (d->epoch == out.epoch && mark.stamp >= out.stamp)) continue;
+        out = std::move(*d);
+        out.stamp = mark.stamp;
+        out.by = origin;
+    }
+    return out;
+}
+
+std::string decision_key(const std::string& zone) { return "failover/" + zone; }
+std::string pin_key(const std::string& zone) { return "pin/" + zone; }
+
+int health_of(const std::vector<ZoneBox>& boxes, bool steered) {
+    double all = 0, up = 0;
+    for (const auto& box : boxes) {
+        all += box.weight;
+        if (box.banned || box.probed == false) continue;
+        if (steered ? box.probed == true : !box.avoided) up += box.weight;
+    }
+    return all > 0 ? static_cast<int>(up / all * 20) * 5 : 100;
+}
+
+Failover::Failover(std::string name, std::string zone, FailoverSettings settings)
+    : name_(std::move(name)), zone_(std::move(zone)), settings_(std::move(settings)) {
+    for (const auto& z : settings_.zones) zones_[z.name];
+}
+
+const std::string& Failover::region_of(const std::string& zone) const {
+    static const std::string kNone;
+    const auto at = std::find_if(settings_.zones.begin(), settings_.zones.end(),
+                                 [&zone](const FailoverZone& z) { return z.name == zone; });
+    return at == settings_.zones.end() ? kNone : at->region;
+}
+
+// Those of its routers alive that come first by hash: the same few on every router that has the same view.
+std::vector<std::string> Failover::witnesses(const std::string& zone, const Input& in) const {
+    std::vector<std::pair<std::uint64_t, std::string>> order;
+    for (const auto& [member, its] : in.alive)
+        if (its == zone) order.emplace_back(fnv(fnv(kFnvBasis, zone), member), member);
+    std::sort(order.begin(), order.end());
+    if (order.size() > settings_.witnesses) order.resize(settings_.witnesses);
+    std::vector<std::string> out;
+    for (auto& [hash, member] : order) out.push_back(std::move(member));
+    return out;
+}
+
+bool Failover::witness(const Input& in) const {
+    const auto all = witnesses(zone_, in);
+    return zones_.contains(zone_) && std::find(all.begin(), all.end(), name_) != all.end();
+}
+
+// What the view, the reports and the replicated state say now.
+void Failover::look(const Input& in) {
+    std::size_t configured = 0, alive = 0;
+    for (auto& [name, z] : zones_) z.alive = 0;
+    for (const auto& [member, zone] : in.alive)
+        if (const auto z = zones_.find(zone); z != zones_.end()) ++z->second.alive;
+    for (const auto& z : settings_.zones) {
+        if (z.region != region_of(zone_)) continue;
+        configured += z.routers;
+        alive += std::min(z.routers, zones_[z.name].alive);
+    }
+    quorum_ = 2 * alive > configured;
+    for (auto& [name, z] : zones_) {
+        const auto subject = kReports + name;
+        const auto who = witnesses(name, in);
+        const std::set<std::string> counted(who.begin(), who.end());
+        const auto reports = reports_in(*in.reports, subject + '\t', in.unix_now, 0,
+                                        [&](const std::string& r) { return counted.contains(r); });
+        std::vector<int> seen;
+        if (const auto at = reports.find(subject); at != reports.end())
+            for (const auto& [reporter, report] : at->second)
+                if (const int h = number_of(report.value, 100); h >= 0) seen.push_back(h);
+        z.health.reset();
+        if (!seen.empty() && 2 * seen.size() > counted.size()) {
+            // Of two the better one: one router's word moves nobody.
+            std::sort(seen.begin(), seen.end());
+            z.health = seen[seen.size() / 2];
+        }
+        const auto pin = in.shared->find(pin_key(name));
+        const auto* pinned = pin == in.shared->end() ? nullptr : pin->second.winner();
+        z.pin = !pinned                  ? Pin::none
+                : pinned->value == "in"  ? Pin::in
+                : pinned->value == "out" ? Pin::out
+                                         : Pin::none;
+    }
+}
+
+// How much of `of`'s requests `target` may take, in per cent of them, beside what it takes from others.
+int Failover::spare(const std::string& of, const std::string& target) const {
+    const auto& t = zones_.at(target);
+    if (target == of || !t.health || *t.health < settings_.panic * 100 || t.pin == Pin::out ||
+        t.decision.out() > 0)
+        return 0;
+    double left = std::min(100.0, settings_.overprovision * *t.health);
+    for (const auto& [name, z] : zones_)
+        if (const auto at = z.decision.targets.find(target); name != of && at != z.decision.targets.end())
+            left -= at->second * ratio(weights_, name, target);
+    return std::clamp(static_cast<int>(left * ratio(weights_, target, of)), 0, 100);
+}
+
+// The own region first, then the others in their order; within one as each zone has to spare.
+std::map<std::string, int> Failover::spread(const std::string& zone, int out) const {
+    std::vector<std::string> regions{region_of(zone)};
+    for (const auto& z : settings_.zones)
+        if (std::find(regions.begin(), regions.end(), z.region) == regions.end()) regions.push_back(z.region);
+    std::map<std::string, int> parts;
+    int rest = out;
+    for (const auto& region : regions) {
+        std::vector<std::pair<int, std::string>> room;
+        for (const auto& z : settings_.zones)
+            if (const int s = z.region == region ? spare(zone, z.name) : 0; s > 0)
+                room.emplace_back(s, z.name);
+        std::stable_sort(room.begin(), room.end(),
+                         [](const auto& a, const auto& b) { return a.first > b.first; });
+        room.resize(std::min(room.size(), FailoverSettings::kMostTargets - parts.size()));
+        int all = 0;
+        for (const auto& r : room) all += r.first;
+        int level = std::min(rest, all);
+        rest -= level;
+        for (const auto& [s, name] : room) {
+            const int part =
+                all > 0 ? (level * s + all - 1) / all : 0;  // rounded up, the last takes what is left
+            const int given = std::min(part, level);
+            level -= given;
+            all -= s;
+            if (given > 0) parts[name] = given;
+        }
+    }
+    // Nothing is left at home: rather too much for the others than nobody's.
+    if (out == 100 && rest > 0 && !parts.empty()) {
+        const int sum = 100 - rest;
+        int given = 0;
+        for (auto& [name, part] : parts) given += part = part * 100 / sum;
+        parts.begin()->second += 100 - given;
+    }
+    return parts;
+}
+
+// What is to hold of the zone next, step bounds and hysteresis kept; what holds now where that is to stay.
+Decision Failover::wished(const std::string& zone) const {
+    const auto& z = zones_.at(zone);
+    const int now = z.decision.out();
+    Decision d = z.decision;
+    if (z.pin == Pin::none && !z.health) return d;
+    const bool lost = z.pin == Pin::none && *z.health == 0;
+    const bool by_hand = z.pin != Pin::none;
+    int want = z.pin == Pin::out ? 100 : 0;
+    if (z.pin == Pin::none)
+        want = 100 - std::min(100, static_cast<int>(std::lround(settings_.overprovision * *z.health)));
+    const bool small = std::abs(want - now) < settings_.least * 100;
+    int next = now;
+    if (lost || (by_hand && want > now))
+        next = want;
+    else if (want > now && !small)
+        next = std::min(want, now + static_cast<int>(settings_.step_out * 100));
+    else if (want < now && (want == 0 || !small))
+        next = std::max(want, now - static_cast<int>(settings_.step_back * 100));
+    if (next == now && std::all_of(d.targets.begin(), d.targets.end(),
+                                   [&](const auto& t) { return spare(zone, t.first) > 0; }))
+        return d;
+    d.targets = spread(zone, next);
+    return d;
+}
+
+// When this router may write that epoch of the zone: one after the other, by a hash that each epoch deals
+// anew.
+Time Failover::turn(const std::string& zone, std::uint64_t epoch, const Input& in) const {
+    const auto place = [&](const std::string& member) {
+        return std::pair{fnv(fnv(fnv(kFnvBasis, zone), epoch), member), member};
+    };
+    const auto own = place(name_);
+    std::size_t before = 0;
+    for (const auto& [member, its] : in.alive)
+        if (region_of(its) == region_of(zone) && place(member) < own) ++before;
+    return settings_.slot * static_cast<Time::rep>(std::min(before, kLastTurn));
+}
+
+// What each zone's boxes count for here. A zone that takes others in counts for less to its own routers by as
+// much, so that what all of them send together stays within its bounds: each part here is a part there.
+std::map<std::string, double> Failover::factors(const Input& in) const {
+    std::map<std::string, double> out;
+    const auto own = zones_.find(zone_);
+    if (own == zones_.end()) return out;
+    const auto share_of_guests = [&](const std::string& host) {
+        double sum = 0;
+        for (const auto& [name, z] : zones_)
+            if (const auto at = z.decision.targets.find(host); at != z.decision.targets.end())
+                sum += at->second / 100.0 * ratio(in.weights, name, host);
+        return sum;
+    };
+    const double home = 1 - own->second.decision.out() / 100.0;
+    double together = 1 / (1 + share_of_guests(zone_));
+    double away = 0;
+    for (const auto& [name, part] : own->second.decision.targets) {
+        const auto weight = in.weights.find(name);
+        if (weight == in.weights.end() || weight->second <= 0) continue;  // none of it is listed here
+        away += out[name] = part / 100.0;
+        together = std::min(together, 1 / (1 + share_of_guests(name)));
+    }
+    if (out.empty() && (home >= 1 || home <= 0) && together >= 1) return {};
+    if (out.empty() && home <= 0) return {};  // nowhere to go: near, rather than nowhere
+    for (auto& [name, part] : out) part *= (1 - home) / away * ratio(in.weights, zone_, name) * together;
+    out[zone_] = home * together;
+    return out;
+}
+
+Failover::Step Failover::tick(const Input& in) {
+    Step step;
+    if (!last_ || in.now - *last_ > kGap) {
+        // Guards against a decider that was stopped in the middle: it looks anew before it writes anything.
+        awake_ = in.now + kSettle;
+        wishes_.clear();
+    }
+    last_ = in.now;
+    weights_ = in.weights;
+    look(in);
+    for (auto& [name, z] : zones_) {
+        const auto at = in.shared->find(decision_key(name));
+        const auto d = in_force(at == in.shared->end() ? nullptr : &at->second);
+        if (d.epoch == z.decision.epoch && d.same(z.decision)) continue;
+        if (looked_) {
+            const int turned = d.out() > z.decision.out() ? 1 : d.out() < z.decision.out() ? -1 : 0;
+            int& before = direction_[name];
+            const bool flap = turned != 0 && before == -turned && in.now - z.since < 2 * settings_.hold;
+            if (turned > 0)
+                z.damp = before < 0 && in.now - z.since < 2 * z.damp * settings_.hold
+                             ? std::min(2 * z.damp, kMostDamp)
+                             : 1;
+            if (turned != 0) before = turned;
+            ++z.changes;
+            z.flaps += flap ? 1 : 0;
+            step.changes.push_back({name, z.decision, d, flap});
+        }
+        z.decision = d;
+        z.since = in.now;
+        wishes_.erase(name);
+    }
+    looked_ = true;
+    for (const auto& [name, z] : zones_) {
+        if (region_of(name) != region_of(zone_)) continue;
+        auto wish = quorum_ && in.now >= awake_ ? wished(name) : z.decision;
+        if (wish.same(z.decision)) {
+            wishes_.erase(name);
+            continue;
+        }
+        const auto [at, fresh] = wishes_.try_emplace(name, Wish{wish, in.now});
+        const auto way = [&z](const Decision& d) { return d.out() > z.decision.out() ? 1 : -1; };
+        if (!fresh && way(at->second.decision) != way(wish)) at->second.since = in.now;
+        at->second.decision = wish;
+        Time due = at->second.since + settings_.confirm;
+        const bool back = wish.out() < z.decision.out() && z.pin == Pin::none;
+        if (z.decision.epoch > 0) due = std::max(due, z.since + settings_.hold * (back ? z.damp : 1));
+        ++wish.epoch;
+        if (in.now < due + turn(name, wish.epoch, in)) continue;
+        step.writes.push_back({name, wish});
+    }
+    step.factors = factors(in);
+    if (witness(in)) step.report = std::to_string(in.health);
+    return step;
+}
+
+}  // namespace silverrail::cluster
--- /dev/null
+++ b/src/cluster/failover.h
@@ -0,0 +1,160 @@
+// Failover between zones and regions, decided in common: what part of a zone's requests leaves it, and where
+// to.
+//
+// A state machine without I/O, clocks or threads, as the rest of src/cluster. Each router of a region
+// computes the same wish from the same reports (src/cluster/voice); one of them, by its rank for that epoch,
+// writes it down as a numbered decision in the replicated state, the next one if nobody did within a slot;
+// every router acts on the decision that is written, never on its own wish. docs/design/failover.md has the
+// ways weighed.
+//
+// Source of the arithmetic: Envoy's priority levels and localities (its documentation, "Priority levels" and
+// "Panic threshold"): a level serves its healthy part times an overprovisioning factor of 1.4, the rest
+// spills to the next; a level below the panic threshold of 50% is no target. What differs is in the design
+// note.
+//
+// Safety:
+// - Quorum: without a majority of the region's configured routers in view nothing is decided.
+// - Health is the median over a zone's witnesses: one router's bad link moves nobody.
+// - At most one change of a zone per hold-down, counted from when this router saw the last one; a zone that
+// fails
+//   again soon after a step back waits longer with the next one.
+// - Back in steps; a zone or box that is let in again counts as just started (core/engine).
+#pragma once
+
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "cluster/voice.h"
+
+namespace silverrail::cluster {
+
+struct FailoverZone {
+    std::string name;
+    std::string region;
+    std::size_t routers = 0;  // configured, alive or not: what a majority is counted of
+    bool operator==(const FailoverZone&) const = default;
+};
+
+struct FailoverSettings {
+    std::vector<FailoverZone> zones;  // regions are preferred in the order in which they come here
+    double overprovision = 1.4;
+    double panic = 0.5;     // a zone with less of it healthy takes nobody in
+    double step_out = 0.5;  // of all requests, in one change; a zone with nothing healthy goes at once
+    double step_back = 0.25;
+    double least = 0.1;         // a smaller change is not worth one
+    Time hold{5000};            // between two changes of one zone
+    Time confirm{300};          // a wish stands for so long before it is written
+    Time slot{300};             // between one router's turn to write it and the next one's
+    std::size_t witnesses = 9;  // routers of a zone whose reports count
+    static constexpr std::size_t kMostZones = 64;
+    static constexpr std::size_t kMostTargets = 3;
+};
+
+// What is in force for a zone.
+struct Decision {
+    std::uint64_t epoch = 0;             // 0: never decided, all in zone
+    std::map<std::string, int> targets;  // zone to per cent of the requests; the rest stays
+    Stamp stamp = 0;
+    std::string by;  // its origin
+    int out() const;
+    bool same(const Decision& other) const { return targets == other.targets; }
+};
+// As a value of the replicated state: "EPOCH ZONE=PERCENT ...".
+std::string text_of(const Decision& decision);
+std::optional<Decision> decision_of(const std::string& text);
+// Of what may stand side by side after a cut: the highest epoch, of that the earliest, so that whoever comes
+// late with the same epoch changes nothing.
+Decision in_force(const Entry* entry);
+
+enum class Pin { none, in, out };
+std::string decision_key(const std::string& zone);
+std::string pin_key(const std::string& zone);
+
+// A box of the own zone as this router has it, for the zone's health.
+struct ZoneBox {
+    double weight = 1;
+    bool avoided = false;        // by this router's own decisions
+    bool banned = false;         // by hand
+    std::optional<bool> probed;  // the last connect by itself; none: none was due
+};
+// Per cent of the weight that is healthy, in fives; 100 where there is no box. `steered`: the zone gets
+// nothing at present, so only connects tell.
+int health_of(const std::vector<ZoneBox>& boxes, bool steered);
+
+class Failover {
+public:
+    Failover(std::string name, std::string zone, FailoverSettings settings);
+
+    struct Input {
+        Time now{};
+        UnixMs unix_now = 0;
+        int health = 100;                          // of the own zone, as this router sees it
+        std::map<std::string, std::string> alive;  // member to its zone, ourselves among them
+        const std::map<std::string, Entry>* reports = nullptr;
+        const std::map<std::string, Entry>* shared = nullptr;
+        std::map<std::string, double> weights;  // of the listed boxes, by zone
+    };
+    struct Write {
+        std::string zone;
+        Decision decision;
+    };
+    struct Change {
+        std::string zone;
+        Decision from, to;
+        bool flap = false;  // turns back what was changed less than two hold-downs ago
+    };
+    struct Step {
+        std::vector<Write> writes;    // to be set in the replicated state, by decision_key
+        std::vector<Change> changes;  // decisions newly in force here
+        // Zone to the factor on its boxes' weight; empty: the own zone alone, as listed.
+        std::map<std::string, double> factors;
+        std::optional<std::string> report;  // what this router has to say of its zone; none: it is no witness
+    };
+    Step tick(const Input& in);
+
+    struct Standing {
+        Decision decision;
+        Pin pin = Pin::none;
+        std::optional<int> health;  // the witnesses' median; none: too few of them
+        std::size_t alive = 0;      // routers of it in view
+        std::uint64_t changes = 0, flaps = 0;
+        // Hold-downs that the next step back waits: doubled each time the zone failed again soon after one.
+        int damp = 1;
+        Time since{};  // when its decision was seen here
+    };
+    const std::map<std::string, Standing>& standings() const { return zones_; }
+    const FailoverSettings& settings() const { return settings_; }
+    bool quorum() const { return quorum_; }
+    const std::string& region_of(const std::string& zone) const;
+
+private:
+    struct Wish {
+        Decision decision;
+        Time since{};
+    };
+    void look(const Input& in);
+    Decision wished(const std::string& zone) const;
+    std::map<std::string, int> spread(const std::string& zone, int out) const;
+    int spare(const std::string& of, const std::string& target) const;
+    Time turn(const std::string& zone, std::uint64_t epoch, const Input& in) const;
+    std::map<std::string, double> factors(const Input& in) const;
+    bool witness(const Input& in) const;
+    std::vector<std::string> witnesses(const std::string& zone, const Input& in) const;
+
+    std::string name_, zone_;
+    FailoverSettings settings_;
+    std::map<std::string, Standing> zones_;  // the configured ones
+    std::map<std::string, Wish> wishes_;
+    std::map<std::string, int> direction_;  // of the last change, +1 out, -1 back
+    std::map<std::string, double> weights_;
+    bool quorum_ = false;
+    bool looked_ = false;
+    std::optional<Time> last_;
+    Time awake_{};  // nothing is written before this: we had not run for a while
+};
+
+}  // namespace silverrail::cluster
--- /dev/null
+++ b/tests/cluster/failover_test.cpp
@@ -0,0 +1,315 @@
+// Failover's rules by tables: what is wished of health, pins and decisions; who writes it and when; what a
+// decision makes of the boxes' weights. Then a region of routers over shared state, tick by tick.
+#include "cluster/failover.h"
+
+#include <cmath>
+#include <cstdio>
+
+#include "../silverrail/check.h"
+
+using namespace silverrail;
+using namespace silverrail::cluster;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr UnixMs kNow = 1'800'000'000'000;
+
+FailoverSettings settings() {
+    FailoverSettings s;
+    s.zones = {{"a", "east", 3}, {"b", "east", 3}, {"c", "west", 3}};
+    return s;
+}
+
+// The replicated state and the view, as all routers of the tests see them.
+struct World {
+    std::map<std::string, Entry> reports, shared;
+    std::map<std::string, std::string> alive;
+    std::map<std::string, double> weights{{"a", 40}, {"b", 40}, {"c", 40}};
+    UnixMs unix_now = kNow;
+    std::uint64_t numbers = 0;
+
+    World() {
+        for (const char* zone : {"a", "b", "c"})
+            for (int i = 0; i < 3; ++i) alive[std::string{zone}.append(std::to_string(i))] = zone;
+        for (const char* zone : {"a", "b", "c"}) health(zone, 100);
+    }
+    void put(std::map<std::string, Entry>& in, const std::string& key, const std::string& origin,
+             const std::string& value) {
+        const auto stamp = static_cast<Stamp>(unix_now) << 16 | (numbers & 0xffff);
+        Entry entry{{{origin, {++numbers, 0, stamp, value}}}, stamp};
+        in[key] = entry;
+    }
+    void report(const std::string& router, int health) {
+        put(reports, report_key("zone/" + alive.at(router), router), router, std::to_string(health));
+    }
+    void health(const std::string& zone, int h) {
+        for (const auto& [router, its] : alive)
+            if (its == zone) report(router, h);
+    }
+    Failover::Input input(Time now, int own = 100) const {
+        return {now, unix_now, own, alive, &reports, &shared, weights};
+    }
+};
+
+std::string targets(const Decision& d) {
+    auto text = text_of(d);
+    const auto at = text.find(' ');
+    return at == std::string::npos ? "" : text.substr(at + 1);
+}
+
+void check_text() {
+    const struct {
+        const char* text;
+        bool good;
+    } kCases[] = {{"1", true},           {"7 b=100", true},
+                  {"7 b=40 c=60", true}, {"", false},
+                  {"0 b=10", false},     {"x b=10", false},
+                  {"7 b", false},        {"7 b=", false},
+                  {"7 =10", false},      {"7 b=0", false},
+                  {"7 b=101", false},    {"7 b=60 c=60", false},
+                  {"7 b=-1", false},     {"7 b=1 b=2", false},
+                  {"7 b=1x", false},     {"7 a=1 b=1 c=1 d=1", false},
+                  {"-1 b=1", false},     {"99999999999999999999999", false}};
+    for (const auto& c : kCases) {
+        const auto d = decision_of(c.text);
+        if (d.has_value() != c.good) std::fprintf(stderr, "text: %s\n", c.text);
+        CHECK(d.has_value() == c.good);
+        if (d) CHECK(text_of(*d) == c.text);
+    }
+    // Side by side after a cut: the highest epoch; of one epoch the first that was written.
+    Entry e{{{"x@1", {1, 0, 20, "4 b=100"}}, {"y@1", {1, 0, 10, "4 c=100"}}, {"z@1", {1, 0, 30, "3"}}}, 30};
+    CHECK(in_force(&e).epoch == 4 && in_force(&e).by == "y@1" && targets(in_force(&e)) == "c=100");
+    e.marks["q@1"] = {2, 2, 0, ""};  // undone
+    e.marks["r@1"] = {1, 0, 5, "no decision"};
+    CHECK(in_force(&e).by == "y@1" && in_force(nullptr).epoch == 0);
+}
+
+void check_health() {
+    using Boxes = std::vector<ZoneBox>;
+    const struct {
+        Boxes boxes;
+        bool steered;
+        int health;
+    } kCases[] = {{{}, false, 100},
+                  {{{}, {}}, false, 100},
+                  {{{1, true, false, {}}, {}}, false, 50},
+                  {{{1, true, false, {}}, {1, true, false, {}}}, false, 0},
+                  {{{1, false, true, {}}, {}}, false, 50},      // by hand
+                  {{{3, true, false, {}}, {}}, false, 25},      // by weight
+                  {{{}, {}, {1, true, false, {}}}, false, 65},  // in fives, downwards
+                  {{{1, false, false, false}, {}}, false, 50},  // looked at on another's word, and down
+                  {{{1, true, false, true}, {}}, false, 50},    // connects, but fails its requests
+                  {{{}, {1, false, false, true}}, true, 50},    // steered: only connects tell
+                  {{{1, true, false, true}, {}}, true, 50}};
+    for (const auto& c : kCases) CHECK(health_of(c.boxes, c.steered) == c.health);
+}
+
+// What zone a's decision comes to be, of one look at the state.
+void check_wishes() {
+    const struct {
+        const char* what;
+        std::vector<std::pair<const char*, int>> health;          // by zone
+        std::vector<std::pair<const char*, const char*>> shared;  // key, value
+        const char* becomes;                                      // a's targets; null: no change is written
+    } kCases[] = {
+        {"calm", {}, {}, nullptr},
+        {"a quarter lost: what is left bears all, times 1.4", {{"a", 75}}, {}, nullptr},
+        {"a third lost: too small a change", {{"a", 65}}, {}, nullptr},
+        {"half lost: three in ten leave, within the region", {{"a", 50}}, {}, "b=30"},
+        {"most lost: one step", {{"a", 10}}, {}, "b=50"},
+        {"all lost: all leave at once", {{"a", 0}}, {}, "b=100"},
+        {"the region's other zone is half gone: what it has to spare, the rest to the next region",
+         {{"a", 0}, {"b", 50}},
+         {{"failover/b", "1 c=30"}},
+         "c=100"},
+        {"the other zone at six in ten", {{"a", 0}, {"b", 60}}, {}, "b=84 c=16"},
+        {"below the panic threshold it takes nobody in", {{"a", 0}, {"b", 45}}, {}, "c=100"},
+        {"nowhere to go: it stays", {{"a", 0}, {"b", 0}, {"c", 0}}, {}, nullptr},
+        {"another zone is already there",
+         {{"a", 0}, {"b", 40}, {"c", 100}},
+         {{"failover/b", "2 c=44"}},
+         "c=100"},
+        {"little to spare: more than it bears rather than nobody's",
+         {{"a", 0}, {"b", 0}, {"c", 50}},
+         {{"failover/b", "2 c=60"}},
+         "c=100"},
+        {"back: one step", {}, {{"failover/a", "5 b=100"}}, "b=75"},
+        {"back, last step", {}, {{"failover/a", "5 b=20"}}, ""},
+        {"half back", {{"a", 50}}, {{"failover/a", "5 b=100"}}, "b=75"},
+        {"as it should be", {{"a", 50}}, {{"failover/a", "5 b=30"}}, nullptr},
+        {"nearly", {{"a", 55}}, {{"failover/a", "5 b=30"}}, nullptr},
+        {"its target is lost too", {{"a", 0}, {"b", 0}}, {{"failover/a", "5 b=100"}}, "c=100"},
+        {"pinned in: it stays, whatever is seen", {{"a", 0}}, {{"pin/a", "in"}}, nullptr},
+        {"pinned in: back in steps", {{"a", 0}}, {{"pin/a", "in"}, {"failover/a", "5 b=100"}}, "b=75"},
+        {"pinned out", {}, {{"pin/a", "out"}}, "b=100"},
+        {"a pinned zone takes nobody in", {{"a", 0}}, {{"pin/b", "out"}}, "c=100"},
+    };
+    for (const auto& c : kCases) {
+        World w;
+        for (const auto& [zone, h] : c.health) w.health(zone, h);
+        for (const auto& [key, value] : c.shared) w.put(w.shared, key, "x@1", value);
+        // Until whoever has the last turn has had it.
+        Failover f{"a1", "a", settings()};
+        std::optional<std::string> became;
+        for (Time t = 0ms; t < 20s && !became; t += 50ms)
+            for (const auto& write : f.tick(w.input(t)).writes)
+                if (write.zone == "a") became = targets(write.decision);
+        const bool as_told = c.becomes ? became == std::string{c.becomes} : !became;
+        if (!as_told) std::fprintf(stderr, "case: %s: %s\n", c.what, became ? became->c_str() : "none");
+        CHECK(as_told);
+    }
+}
+
+// One router's word, a minority, and too few witnesses change nothing.
+void check_quorum() {
+    const auto writes = [](World& w, const std::string& who) {
+        Failover f{who, w.alive.at(who), settings()};
+        std::size_t n = 0;
+        for (Time t = 0ms; t < 20s; t += 50ms) n += f.tick(w.input(t)).writes.size();
+        return n;
+    };
+    World one;
+    one.report("a0", 0);
+    CHECK(writes(one, "a0") == 0 && writes(one, "a1") == 0);
+    one.report("a1", 0);  // two of three: the zone
+    CHECK(writes(one, "a2") > 0 && writes(one, "b1") > 0);
+    CHECK(writes(one, "c1") == 0);  // another region's affair
+    // Cut off with all of its zone's boxes: it sees nobody else.
+    World alone;
+    alone.report("a0", 0);
+    alone.alive = {{"a0", "a"}};
+    CHECK(writes(alone, "a0") == 0);
+    // Half of the region is no majority.
+    World half;
+    half.health("a", 0);
+    half.alive = {{"a0", "a"}, {"a1", "a"}, {"a2", "a"}, {"c0", "c"}, {"c1", "c"}, {"c2", "c"}};
+    CHECK(writes(half, "a0") == 0);
+    // The dead bear no witness.
+    World dead;
+    dead.health("a", 0);
+    dead.alive.erase("a1");
+    dead.alive.erase("a2");
+    dead.report("a0", 100);
+    CHECK(writes(dead, "b0") == 0);
+}
+
+// All routers of two regions over one state that each sees at once; who does not run is in `stopped`.
+struct Region {
+    World w;
+    std::map<std::string, Failover> routers;
+    std::set<std::string> stopped;
+    Time now{0};
+    std::vector<std::pair<Time, Failover::Write>> written;
+    std::size_t changes = 0;  // as a0 or b0 sees them
+
+    Region() {
+        for (const auto& [name, zone] : w.alive) routers.emplace(name, Failover{name, zone, settings()});
+    }
+    void run(Time span, Time step = 50ms) {
+        for (const Time until = now + span; now < until; now += step) {
+            w.unix_now = kNow + now.count();
+            for (auto& [name, router] : routers) {
+                if (stopped.contains(name)) continue;
+                const auto out = router.tick(w.input(now));
+                if (name == "b0") changes += out.changes.size();
+                for (const auto& write : out.writes) {
+                    written.emplace_back(now, write);
+                    w.put(w.shared, decision_key(write.zone), name, text_of(write.decision));
+                }
+            }
+        }
+    }
+    Decision of(const std::string& router, const std::string& zone) {
+        return routers.at(router).standings().at(zone).decision;
+    }
+};
+
+void check_together() {
+    Region r;
+    r.run(5s);
+    CHECK(r.written.empty());
+    r.w.health("a", 0);
+    const auto lost = r.now;
+    r.run(2s);
+    CHECK(r.written.size() == 1 && r.written[0].first - lost <= 1s);
+    for (const auto& [name, router] : r.routers) CHECK(targets(r.of(name, "a")) == "b=100");
+    // Back: four steps, one a hold-down, each once.
+    r.w.health("a", 100);
+    r.run(30s);
+    CHECK(r.written.size() == 5 && r.of("c2", "a").out() == 0 && r.of("c2", "a").epoch == 5);
+    for (std::size_t i = 1; i < r.written.size(); ++i)
+        CHECK(r.written[i].first - r.written[i - 1].first >= settings().hold);
+    // Flapping faster than the hold-down: at most one change in each.
+    const auto before = r.written.size(), seen = r.changes;
+    for (int i = 0; i < 60; ++i) {
+        r.w.health("a", i % 2 ? 100 : 30);
+        r.run(1s);
+    }
+    CHECK(r.written.size() - before <= 60 / 5 && r.changes - seen <= 60 / 5);
+    // Each time it fails again it waits longer with coming back.
+    CHECK(r.routers.at("b0").standings().at("a").flaps <= 6);
+    CHECK(r.routers.at("b0").standings().at("a").damp >= 4);
+}
+
+// Whoever would write is stopped: the next one does, once; woken, it writes nothing of what it meant to.
+void check_decider_lost() {
+    for (int many = 1; many <= 2; ++many) {
+        Region r;
+        r.run(3s);
+        r.w.health("a", 0);
+        // Whose turn it is shows by who writes first in a copy of the world.
+        for (int i = 0; i < many; ++i) {
+            Region copy = r;
+            copy.run(5s);
+            const auto by = in_force(&copy.w.shared.at("failover/a")).by;
+            r.stopped.insert(by);
+        }
+        r.run(2500ms);
+        CHECK(r.written.size() == 1 && r.of("c0", "a").epoch == 1);
+        r.stopped.clear();
+        r.run(4s);
+        CHECK(r.written.size() == 1);
+        for (const auto& [name, router] : r.routers) CHECK(targets(r.of(name, "a")) == "b=100");
+    }
+}
+
+void check_factors() {
+    const auto near = [](double a, double b) { return std::abs(a - b) < 1e-9; };
+    World w;
+    const auto factors = [&w](const char* zone) {
+        Failover f{std::string{zone}.append("0"), zone, settings()};
+        return f.tick(w.input(0ms)).factors;
+    };
+    CHECK(factors("a").empty() && factors("b").empty());
+    w.put(w.shared, "failover/a", "x@1", "3 b=25 c=25");
+    auto a = factors("a"), b = factors("b");
+    CHECK(near(a["a"], 0.5 / 1.25) && near(a["b"], 0.25 / 1.25) && near(a["c"], 0.25 / 1.25));
+    CHECK(b.size() == 1 && near(b["b"], 1 / 1.25));
+    // Over all routers a box of b is used by as much as alone: here a's part and b's are one.
+    CHECK(near(a["b"] + b["b"], 1));
+    w.put(w.shared, "failover/a", "x@1", "4 b=100");
+    a = factors("a");
+    CHECK(a.size() == 2 && a["a"] == 0 && near(a["b"], 0.5) && near(factors("b")["b"], 0.5));
+    // Of another size: the part of the requests is what is told, not that of the boxes.
+    w.weights["b"] = 80;
+    a = factors("a");
+    CHECK(near(a["b"], 0.5 / 1.5) && near(factors("b")["b"], 1 / 1.5));
+    w.weights["b"] = 0;  // none of it listed: near rather than nowhere
+    CHECK(factors("a").empty());
+    w.put(w.shared, "failover/a", "x@1", "5 b=50 c=50");
+    CHECK(near(factors("a")["c"], 1 / 1.5) && factors("a")["a"] == 0);
+}
+
+}  // namespace
+
+int main() {
+    check_text();
+    check_health();
+    check_wishes();
+    check_quorum();
+    check_together();
+    check_decider_lost();
+    check_factors();
+    std::puts("failover: as it should be");
+}
