--- a/src/app/control_part.cpp
+++ b/src/app/control_part.cpp
@@ -11,7 +11,7 @@
 }
 
 ControlPart::ControlPart(World world, const std::string& at, std::size_t most_callers) try
-    : admin_(world.engine, world.hands, world.lifecycle, world.log, world.members, world.replica),
+    : admin_(world.engine, world.hands, world.lifecycle, world.log, std::move(world.fleet)),
       server_(
           world.io, control_endpoint(at), {.connections = most_callers},
           [this](std::string_view line, bool ended) { return admin_.answer(line, ended); }, world.log) {
--- a/src/app/control_part.h
+++ b/src/app/control_part.h
@@ -18,9 +18,8 @@
         front::admin::Hands& hands;
         const Lifecycle& lifecycle;
         Log& log;
-        std::function<void()> shed;              // frees descriptors
-        std::function<std::string()> members{};  // MEMBERS; empty without peers
-        std::function<std::string()> replica{};  // REPLICA; the same
+        std::function<void()> shed;   // frees descriptors
+        front::admin::Fleet fleet{};  // empty without peers
     };
     // Listens at once, as an address that is taken must stop the start; throws config::ConfigError.
     ControlPart(World world, const std::string& at, std::size_t most_callers);
--- /dev/null
+++ b/src/app/failover_part.cpp
@@ -0,0 +1,196 @@
+#include "app/failover_part.h"
+
+#include <algorithm>
+
+namespace silverrail::app {
+
+namespace {
+constexpr std::chrono::milliseconds kTick{50};
+constexpr cluster::Time kProbeEvery{500};
+// Well below the minute after which a report ages.
+constexpr cluster::Time kRefresh{20'000};
+}  // namespace
+
+FailoverPart::FailoverPart(World world, const config::PeersSettings& settings, std::uint64_t seed)
+    : world_(world),
+      name_(settings.name),
+      zone_(settings.zone),
+      failover_(settings.name, settings.zone, settings.failover),
+      voice_({.refresh = kRefresh}, seed ^ 0xe7037ed1a0b428dbULL),
+      prober_(world.io, {}),
+      timer_(world.io) {}
+
+void FailoverPart::stop() {
+    timer_.cancel();
+    prober_.stop();
+}
+
+bool FailoverPart::steered() const {
+    const auto own = factors_.find(zone_);
+    return own != factors_.end() && own->second <= 0;
+}
+
+// What it bears of what it bears when warm, as the settings say: from the later of its start and its zone's
+// return, as the core tells the module too.
+double FailoverPart::warmth(const core::Box& box) const {
+    const auto& s = world_.engine.settings();
+    auto since = box.entry.up_since;
+    if (back_since_ && (!since || *back_since_ > *since)) since = back_since_;
+    if (!since || s.cold_for <= winchflow::Span{}) return 1;
+    const auto passed = std::chrono::duration<double>(world_.clock.now() - *since) /
+                        std::chrono::duration<double>(s.cold_for);
+    return s.cold_from + (1 - s.cold_from) * std::clamp(passed, 0.0, 1.0);
+}
+
+// The caches of the own zone, and the weight of all zones' on the way.
+std::vector<FailoverPart::Box> FailoverPart::own_boxes() {
+    const auto alive = world_.peers.alive_names();
+    const auto doubts = cluster::reports_in(
+        world_.reports.entries(), "box/", world_.clock.unix_ms(), 10'000,
+        [&](const std::string& reporter) { return reporter != name_ && alive.contains(reporter); });
+    std::vector<Box> out;
+    weights_.clear();
+    world_.engine.each_box([&](const core::Box& box, bool avoided) {
+        if (box.entry.condition != winchflow::Condition::ready || !world_.engine.is_cache(box)) return;
+        weights_[box.entry.zone] += box.entry.weight;
+        if (box.entry.zone != zone_) return;
+        const auto& id = box.entry.id.address;
+        Box b{id,
+              box.address,
+              {box.entry.weight, avoided, world_.engine.bans().contains(box.entry.id), {}, warmth(box)}};
+        // Another's word is no reason to believe it, but one to look.
+        b.doubted = steered() || avoided || doubts.contains("box/" + id);
+        const auto probe = probes_.find(id);
+        if (b.doubted && probe != probes_.end() && probe->second.told)
+            b.zone_box.probed = probe->second.listens;
+        out.push_back(std::move(b));
+    });
+    return out;
+}
+
+void FailoverPart::probe(const std::vector<Box>& boxes) {
+    const auto now = world_.peers.now();
+    std::set<std::string> doubted;
+    for (const auto& box : boxes)
+        if (box.doubted) doubted.insert(box.id);
+    std::erase_if(probes_, [&](const auto& item) { return !doubted.contains(item.first); });
+    for (const auto& box : boxes) {
+        if (!box.doubted) continue;
+        auto& probe = probes_[box.id];
+        if (probe.under_way || now < probe.next) continue;
+        probe.under_way = prober_.look(box.address, [this, id = box.id](bool listens) {
+            ++probed_;
+            probes_failed_ += listens ? 0 : 1;
+            if (const auto at = probes_.find(id); at != probes_.end())
+                at->second = {listens, world_.peers.now(), world_.peers.now() + kProbeEvery, true, false};
+        });
+    }
+}
+
+void FailoverPart::tick() {
+    const auto boxes = own_boxes();
+    probe(boxes);
+    std::vector<cluster::ZoneBox> zone_boxes;
+    for (const auto& box : boxes) zone_boxes.push_back(box.zone_box);
+    health_ = cluster::health_of(zone_boxes, steered());
+
+    cluster::Failover::Input in;
+    in.now = world_.peers.now();
+    in.unix_now = world_.clock.unix_ms();
+    in.health = health_;
+    in.alive[name_] = zone_;
+    for (const auto& [name, member] : world_.peers.view().view())
+        if (member.record.state == cluster::State::alive) in.alive[name] = member.record.who.zone;
+    in.reports = &world_.reports.entries();
+    in.shared = &world_.shared.entries();
+    in.weights = weights_;
+    const auto step = failover_.tick(in);
+
+    std::map<std::string, std::string> wanted;
+    if (step.report) wanted.emplace("zone/" + zone_, *step.report);
+    for (const auto& say : voice_.tick(in.now, wanted, [](const std::string&) { return std::size_t{0}; }))
+        world_.reports.say(name_, say);
+    for (const auto& write : step.writes)
+        written_ += world_.shared.set(cluster::decision_key(write.zone), cluster::text_of(write.decision));
+    for (const auto& change : step.changes) logged(change);
+    if (step.factors != factors_) {
+        const bool before = steered();
+        factors_ = step.factors;
+        if (before && !steered()) back_since_ = world_.clock.now();
+        world_.engine.steer(factors_);
+    }
+    timer_.expires_after(kTick);
+    timer_.async_wait([this](const net::error_code& error) {
+        if (!error) tick();
+    });
+}
+
+void FailoverPart::logged(const cluster::Failover::Change& c) {
+    world_.log.line("failover",
+                    R"({"zone":"%s","epoch":%llu,"out":%d,"before":%d,"to":"%s","by":"%s","flap":%s})",
+                    c.zone.c_str(), static_cast<unsigned long long>(c.to.epoch), c.to.out(), c.from.out(),
+                    cluster::text_of(c.to).c_str(), c.to.by.c_str(), c.flap ? "true" : "false");
+}
+
+std::string FailoverPart::standings() const {
+    std::string out;
+    for (const auto& zone : failover_.settings().zones) {
+        const auto& z = failover_.standings().at(zone.name);
+        std::string to;
+        for (const auto& [name, part] : z.decision.targets)
+            to += (to.empty() ? "" : ",") + name + "=" + std::to_string(part);
+        out += zone.name + " " + zone.region + " " + std::to_string(z.alive) + "/" +
+               std::to_string(zone.routers) + " " +
+               (z.health ? std::to_string(*z.health) + "/" + std::to_string(z.warm) : "-") + " " +
+               std::to_string(z.decision.epoch) + " " + std::to_string(z.decision.out()) + " " +
+               (to.empty() ? "-" : to) + " " +
+               (z.pin == cluster::Pin::in    ? "in"
+                : z.pin == cluster::Pin::out ? "out"
+                                             : "-") +
+               " " + std::to_string(z.changes) + " " + std::to_string(z.flaps) + "\n";
+    }
+    return out + "--\n";
+}
+
+front::admin::Verdict FailoverPart::pin(const std::string& zone, const std::string& how) {
+    if (!failover_.standings().contains(zone)) return {false, "no such zone"};
+    const auto key = cluster::pin_key(zone);
+    const bool done =
+        how == "OFF" ? world_.shared.clear(key) : world_.shared.set(key, how == "IN" ? "in" : "out");
+    world_.log.line("failover-pin", R"({"zone":"%s","how":"%s","kept":%s})", zone.c_str(), how.c_str(),
+                    done ? "true" : "false");
+    return done ? front::admin::Verdict{true, how == "OFF" ? "not pinned" : "pinned"}
+                : front::admin::Verdict{false, "in force here, but not kept for the fleet"};
+}
+
+std::string FailoverPart::counters() {
+    std::uint64_t changes = 0, flaps = 0, away = 0, abroad = 0;
+    for (const auto& [name, z] : failover_.standings()) {
+        changes += z.changes;
+        flaps += z.flaps;
+    }
+    for (const auto& [zone, sent] : world_.engine.sent_away()) {
+        away += sent;
+        if (failover_.region_of(zone) != failover_.region_of(zone_)) abroad += sent;
+    }
+    const auto& own = failover_.standings().at(zone_);
+    const std::pair<const char*, std::uint64_t> figures[] = {
+        {"quorum", failover_.quorum()},
+        {"health", static_cast<std::uint64_t>(health_.up)},
+        {"warm", static_cast<std::uint64_t>(health_.warm)},
+        {"epoch", own.decision.epoch},
+        {"out", static_cast<std::uint64_t>(own.decision.out())},
+        {"changes", changes},
+        {"flaps", flaps},
+        {"written", written_},
+        {"sent_out_of_zone", away},
+        {"sent_out_of_region", abroad},
+        {"probes", probed_},
+        {"probes_failed", probes_failed_}};
+    std::string out;
+    for (const auto& [name, value] : figures)
+        out += std::string{"failover."}.append(name) + " " + std::to_string(value) + "\n";
+    return out;
+}
+
+}  // namespace silverrail::app
--- /dev/null
+++ b/src/app/failover_part.h
@@ -0,0 +1,70 @@
+// Failover in the running program: the state machine of src/cluster/failover between the core, the reports
+// and the replicated state. Made only where the `peers` section names zones.
+#pragma once
+
+#include "app/part.h"
+#include "app/replica_part.h"
+#include "cluster/failover.h"
+#include "core/engine.h"
+#include "front/admin/admin.h"
+#include "net/prober.h"
+
+namespace silverrail::app {
+
+class FailoverPart : public Part {
+public:
+    struct World {
+        net::asio::io_context& io;
+        core::Engine& engine;
+        PeersPart& peers;
+        ReplicaPart& shared;
+        ReplicaPart& reports;
+        const core::Clock& clock;
+        Log& log;
+    };
+    FailoverPart(World world, const config::PeersSettings& settings, std::uint64_t seed);
+    void start() override { tick(); }
+    void stop() override;
+    std::string counters() override;
+
+    // The answer to FAILOVER: a line a zone: name, region, routers alive/configured, health and warmth in per
+    // cent or
+    // "-", epoch, per cent of its requests that leave, where to, pin, changes, flaps; then "--".
+    std::string standings() const;
+    // By hand, for the fleet: `how` is IN, OUT or OFF.
+    front::admin::Verdict pin(const std::string& zone, const std::string& how);
+
+private:
+    struct Box {
+        std::string id, address;
+        cluster::ZoneBox zone_box;
+        bool doubted = false;  // a connect is to tell
+    };
+    struct Probe {
+        bool listens = false;
+        cluster::Time at{};  // when it was told
+        cluster::Time next{};
+        bool told = false, under_way = false;
+    };
+    void tick();
+    bool steered() const;  // does the own zone get nothing?
+    double warmth(const core::Box& box) const;
+    std::vector<Box> own_boxes();
+    void probe(const std::vector<Box>& boxes);
+    void logged(const cluster::Failover::Change& change);
+
+    World world_;
+    std::string name_, zone_;
+    cluster::Failover failover_;
+    cluster::Voice voice_;
+    net::Prober prober_;
+    net::asio::steady_timer timer_;
+    std::map<std::string, Probe> probes_;
+    std::map<std::string, double> factors_;
+    std::map<std::string, double> weights_;
+    cluster::Health health_;
+    std::optional<core::Time> back_since_;  // when the own zone was let in again
+    std::uint64_t written_ = 0, probed_ = 0, probes_failed_ = 0;
+};
+
+}  // namespace silverrail::app
--- a/src/app/program.cpp
+++ b/src/app/program.cpp
@@ -11,6 +11,7 @@
 #include "app/control_part.h"
 #include "app/dns_part.h"
 #include "app/endpoint.h"
+#include "app/failover_part.h"
 #include "app/hearsay_part.h"
 #include "app/overlap.h"
 #include "app/peers_part.h"
@@ -118,6 +119,7 @@
                                                              config::json_line(config_.root)},
                                             settings_.trace));
         }
+        front::admin::Fleet fleet;
         PeersPart* peers = nullptr;
         ReplicaPart* replica = nullptr;
         if (settings_.peers.on()) {
@@ -137,6 +139,18 @@
                 parts_.push_back(std::make_unique<HearsayPart>(
                     HearsayPart::World{io_, engine_, *peers, *reports, clock_, log_}, settings_.peers,
                     config_.seed));
+            fleet.members = [peers] { return peers->members(); };
+            fleet.replica = [replica] { return replica->digest(); };
+            if (!settings_.peers.failover.zones.empty()) {
+                auto failover = std::make_unique<FailoverPart>(
+                    FailoverPart::World{io_, engine_, *peers, *replica, *reports, clock_, log_},
+                    settings_.peers, config_.seed);
+                fleet.failover = [part = failover.get()] { return part->standings(); };
+                fleet.pin = [part = failover.get()](const std::string& zone, const std::string& how) {
+                    return part->pin(zone, how);
+                };
+                parts_.push_back(std::move(failover));
+            }
             parts_.push_back(std::move(reports));
         }
         if (!config_.control.empty()) {
@@ -147,11 +161,7 @@
             parts_.push_back(std::move(bans));
             parts_.push_back(std::make_unique<ControlPart>(
                 ControlPart::World{io_, engine_, hands, lifecycle_, log_, [this] { upstream_.shed(32); },
-                                   peers ? std::function<std::string()>{[peers] { return peers->members(); }}
-                                         : std::function<std::string()>{},
-                                   replica
-                                       ? std::function<std::string()>{[replica] { return replica->digest(); }}
-                                       : std::function<std::string()>{}},
+                                   std::move(fleet)},
                 config_.control, shares_.callers));
         }
         if (settings_.dns.on())
--- a/src/cluster/failover.cpp
+++ b/src/cluster/failover.cpp
@@ -25,6 +25,13 @@
     return error == std::errc{} && end == text.data() + text.size() && n >= 0 && n <= most ? n : -1;
 }
 
+std::vector<std::string> in_order(std::vector<std::pair<std::uint64_t, std::string>> hashed) {
+    std::sort(hashed.begin(), hashed.end());
+    std::vector<std::string> out;
+    for (auto& [hash, member] : hashed) out.push_back(std::move(member));
+    return out;
+}
+
 double ratio(const std::map<std::string, double>& weights, const std::string& of, const std::string& to) {
     const auto a = weights.find(of), b = weights.find(to);
     return a == weights.end() || b == weights.end() || a->second <= 0 || b->second <= 0
@@ -80,14 +87,27 @@
 std::string decision_key(const std::string& zone) { return "failover/" + zone; }
 std::string pin_key(const std::string& zone) { return "pin/" + zone; }
 
-int health_of(const std::vector<ZoneBox>& boxes, bool steered) {
-    double all = 0, up = 0;
+Health health_of(const std::vector<ZoneBox>& boxes, bool steered) {
+    double all = 0, up = 0, warm = 0;
     for (const auto& box : boxes) {
         all += box.weight;
         if (box.banned || box.probed == false) continue;
-        if (steered ? box.probed == true : !box.avoided) up += box.weight;
+        if (steered ? box.probed != true : box.avoided) continue;
+        up += box.weight;
+        warm += box.weight * box.warm;
     }
-    return all > 0 ? static_cast<int>(up / all * 20) * 5 : 100;
+    const auto fives = [all](double part) { return static_cast<int>(part / all * 20 + 1e-9) * 5; };
+    return all > 0 ? Health{fives(up), fives(warm)} : Health{};
+}
+
+std::string text_of(Health health) { return std::to_string(health.up) + " " + std::to_string(health.warm); }
+
+std::optional<Health> health_of_report(const std::string& text) {
+    const auto space = text.find(' ');
+    if (space == std::string::npos) return std::nullopt;
+    const Health h{number_of(std::string_view{text}.substr(0, space), 100),
+                   number_of(std::string_view{text}.substr(space + 1), 100)};
+    return h.up < 0 || h.warm < 0 ? std::nullopt : std::optional{h};
 }
 
 Failover::Failover(std::string name, std::string zone, FailoverSettings settings)
@@ -107,10 +127,8 @@
     std::vector<std::pair<std::uint64_t, std::string>> order;
     for (const auto& [member, its] : in.alive)
         if (its == zone) order.emplace_back(fnv(fnv(kFnvBasis, zone), member), member);
-    std::sort(order.begin(), order.end());
-    if (order.size() > settings_.witnesses) order.resize(settings_.witnesses);
-    std::vector<std::string> out;
-    for (auto& [hash, member] : order) out.push_back(std::move(member));
+    auto out = in_order(std::move(order));
+    if (out.size() > settings_.witnesses) out.resize(settings_.witnesses);
     return out;
 }
 
@@ -137,15 +155,20 @@
         const std::set<std::string> counted(who.begin(), who.end());
         const auto reports = reports_in(*in.reports, subject + '\t', in.unix_now, 0,
                                         [&](const std::string& r) { return counted.contains(r); });
-        std::vector<int> seen;
+        std::vector<int> seen, warm;
         if (const auto at = reports.find(subject); at != reports.end())
             for (const auto& [reporter, report] : at->second)
-                if (const int h = number_of(report.value, 100); h >= 0) seen.push_back(h);
+                if (const auto h = health_of_report(report.value)) {
+                    seen.push_back(h->up);
+                    warm.push_back(h->warm);
+                }
         z.health.reset();
         if (!seen.empty() && 2 * seen.size() > counted.size()) {
             // Of two the better one: one router's word moves nobody.
             std::sort(seen.begin(), seen.end());
+            std::sort(warm.begin(), warm.end());
             z.health = seen[seen.size() / 2];
+            z.warm = warm[warm.size() / 2];
         }
         const auto pin = in.shared->find(pin_key(name));
         const auto* pinned = pin == in.shared->end() ? nullptr : pin->second.winner();
@@ -226,6 +249,11 @@
         next = std::min(want, now + static_cast<int>(settings_.step_out * 100));
     else if (want < now && (want == 0 || !small))
         next = std::max(want, now - static_cast<int>(settings_.step_back * 100));
+    // Back only as far as what came back is warm; what is cold is no reason to leave. The first step warms
+    // it.
+    if (next < now && now < 100 && z.pin == Pin::none)
+        next = std::min(
+            now, std::max(next, 100 - static_cast<int>(std::lround(settings_.overprovision * z.warm))));
     if (next == now && std::all_of(d.targets.begin(), d.targets.end(),
                                    [&](const auto& t) { return spare(zone, t.first) > 0; }))
         return d;
@@ -233,17 +261,14 @@
     return d;
 }
 
-// When this router may write that epoch of the zone: one after the other, by a hash that each epoch deals
-// anew.
-Time Failover::turn(const std::string& zone, std::uint64_t epoch, const Input& in) const {
-    const auto place = [&](const std::string& member) {
-        return std::pair{fnv(fnv(fnv(kFnvBasis, zone), epoch), member), member};
-    };
-    const auto own = place(name_);
-    std::size_t before = 0;
-    for (const auto& [member, its] : in.alive)
-        if (region_of(its) == region_of(zone) && place(member) < own) ++before;
-    return settings_.slot * static_cast<Time::rep>(std::min(before, kLastTurn));
+// By a hash that each epoch deals anew.
+std::vector<std::string> Failover::turns(const std::string& zone, std::uint64_t epoch,
+                                         const std::map<std::string, std::string>& alive) const {
+    std::vector<std::pair<std::uint64_t, std::string>> order;
+    for (const auto& [member, its] : alive)
+        if (region_of(its) == region_of(zone))
+            order.emplace_back(fnv(fnv(fnv(kFnvBasis, zone), epoch), member), member);
+    return in_order(std::move(order));
 }
 
 // What each zone's boxes count for here. A zone that takes others in counts for less to its own routers by as
@@ -263,8 +288,9 @@
     double together = 1 / (1 + share_of_guests(zone_));
     double away = 0;
     for (const auto& [name, part] : own->second.decision.targets) {
+        // None of it is listed here. Before there is any list, what was decided holds all the same.
         const auto weight = in.weights.find(name);
-        if (weight == in.weights.end() || weight->second <= 0) continue;  // none of it is listed here
+        if (!in.weights.empty() && (weight == in.weights.end() || weight->second <= 0)) continue;
         away += out[name] = part / 100.0;
         together = std::min(together, 1 / (1 + share_of_guests(name)));
     }
@@ -322,11 +348,14 @@
         const bool back = wish.out() < z.decision.out() && z.pin == Pin::none;
         if (z.decision.epoch > 0) due = std::max(due, z.since + settings_.hold * (back ? z.damp : 1));
         ++wish.epoch;
-        if (in.now < due + turn(name, wish.epoch, in)) continue;
+        const auto order = turns(name, wish.epoch, in.alive);
+        const auto rank =
+            static_cast<std::size_t>(std::find(order.begin(), order.end(), name_) - order.begin());
+        if (in.now < due + settings_.slot * static_cast<Time::rep>(std::min(rank, kLastTurn))) continue;
         step.writes.push_back({name, wish});
     }
     step.factors = factors(in);
-    if (witness(in)) step.report = std::to_string(in.health);
+    if (witness(in)) step.report = text_of(in.health);
     return step;
 }
 
--- a/src/cluster/failover.h
+++ b/src/cluster/failover.h
@@ -18,7 +18,8 @@
 // - At most one change of a zone per hold-down, counted from when this router saw the last one; a zone that
 // fails
 //   again soon after a step back waits longer with the next one.
-// - Back in steps; a zone or box that is let in again counts as just started (core/engine).
+// - Back in steps, and only as far as its boxes have warmed; a zone or box that is let in again counts as
+// just started (core/engine).
 #pragma once
 
 #include <map>
@@ -50,6 +51,7 @@
     Time confirm{300};          // a wish stands for so long before it is written
     Time slot{300};             // between one router's turn to write it and the next one's
     std::size_t witnesses = 9;  // routers of a zone whose reports count
+    bool operator==(const FailoverSettings&) const = default;
     static constexpr std::size_t kMostZones = 64;
     static constexpr std::size_t kMostTargets = 3;
 };
@@ -77,13 +79,24 @@
 // A box of the own zone as this router has it, for the zone's health.
 struct ZoneBox {
     double weight = 1;
-    bool avoided = false;        // by this router's own decisions
-    bool banned = false;         // by hand
-    std::optional<bool> probed;  // the last connect by itself; none: none was due
+    bool avoided = false;  // by this router's own decisions
+    bool banned = false;   // by hand
+    // The last connect by itself; none: none was due.
+    std::optional<bool> probed;
+    double warm = 1;  // of what it bears when it has run for long
 };
-// Per cent of the weight that is healthy, in fives; 100 where there is no box. `steered`: the zone gets
-// nothing at present, so only connects tell.
-int health_of(const std::vector<ZoneBox>& boxes, bool steered);
+// A zone's health in per cent of its boxes' weight, in fives downwards; all of it where there is no box.
+struct Health {
+    int up = 100;
+    int warm = 100;  // of all, what those that are up bear now
+    bool operator==(const Health&) const = default;
+};
+// `steered`: the zone gets nothing at present, so only connects tell.
+Health health_of(const std::vector<ZoneBox>& boxes, bool steered);
+
+// As a report's value: "UP WARM".
+std::string text_of(Health health);
+std::optional<Health> health_of_report(const std::string& text);
 
 class Failover {
 public:
@@ -92,7 +105,7 @@
     struct Input {
         Time now{};
         UnixMs unix_now = 0;
-        int health = 100;                          // of the own zone, as this router sees it
+        Health health{};                           // of the own zone, as this router sees it
         std::map<std::string, std::string> alive;  // member to its zone, ourselves among them
         const std::map<std::string, Entry>* reports = nullptr;
         const std::map<std::string, Entry>* shared = nullptr;
@@ -120,6 +133,7 @@
         Decision decision;
         Pin pin = Pin::none;
         std::optional<int> health;  // the witnesses' median; none: too few of them
+        int warm = 100;             // the same
         std::size_t alive = 0;      // routers of it in view
         std::uint64_t changes = 0, flaps = 0;
         // Hold-downs that the next step back waits: doubled each time the zone failed again soon after one.
@@ -130,6 +144,9 @@
     const FailoverSettings& settings() const { return settings_; }
     bool quorum() const { return quorum_; }
     const std::string& region_of(const std::string& zone) const;
+    // Whose turn it is to write that epoch of the zone, of the members alive; the first one first.
+    std::vector<std::string> turns(const std::string& zone, std::uint64_t epoch,
+                                   const std::map<std::string, std::string>& alive) const;
 
 private:
     struct Wish {
@@ -140,7 +157,6 @@
     Decision wished(const std::string& zone) const;
     std::map<std::string, int> spread(const std::string& zone, int out) const;
     int spare(const std::string& of, const std::string& target) const;
-    Time turn(const std::string& zone, std::uint64_t epoch, const Input& in) const;
     std::map<std::string, double> factors(const Input& in) const;
     bool witness(const Input& in) const;
     std::vector<std::string> witnesses(const std::string& zone, const Input& in) const;
--- a/src/config/operator.cpp
+++ b/src/config/operator.cpp
@@ -1,5 +1,6 @@
 #include "config/operator.h"
 
+#include <algorithm>
 #include <fstream>
 #include <memory>
 #include <sstream>
@@ -75,6 +76,44 @@
     return t;
 }
 
+// The zones and what a decision is made by. Names stand in decisions, so they hold none of its signs.
+cluster::FailoverSettings parse_failover(Section s, const std::string& own) {
+    cluster::FailoverSettings f;
+    if (!s.present()) return f;
+    const auto fits = [](const std::string& name) {
+        return !name.empty() && name.size() <= cluster::kLongestPlace &&
+               std::all_of(name.begin(), name.end(),
+                           [](char c) { return c > ' ' && c < '\x7f' && c != '='; });
+    };
+    s.each("zones", cluster::FailoverSettings::kMostZones, [&](Section& z) {
+        cluster::FailoverZone zone{z.text("name"), z.text("region"),
+                                   static_cast<std::size_t>(z.whole("routers", 0, 1, 10'000))};
+        if (!fits(zone.name)) z.wrong("name", "needed, of 1 to 32 plain letters without '='");
+        if (!fits(zone.region)) z.wrong("region", "needed, of 1 to 32 plain letters without '='");
+        if (zone.routers == 0) z.wrong("routers", "needed: how many the zone has");
+        for (const auto& other : f.zones)
+            if (other.name == zone.name) z.wrong("name", "given twice: " + zone.name);
+        f.zones.push_back(std::move(zone));
+    });
+    const auto ms = [&s](const char* key, cluster::Time fallback, std::int64_t least, std::int64_t most) {
+        return cluster::Time{s.whole(key, fallback.count(), least, most)};
+    };
+    f.overprovision = s.number("overprovision", f.overprovision, 1, 10);
+    f.panic = s.number("panic", f.panic, 0, 1);
+    f.step_out = s.number("step_out", f.step_out, 0.01, 1);
+    f.step_back = s.number("step_back", f.step_back, 0.01, 1);
+    f.least = s.number("least", f.least, 0, 1);
+    f.hold = ms("hold_ms", f.hold, 500, 3'600'000);
+    f.confirm = ms("confirm_ms", f.confirm, 0, 60'000);
+    f.slot = ms("slot_ms", f.slot, 50, 10'000);
+    f.witnesses =
+        static_cast<std::size_t>(s.whole("witnesses", static_cast<std::int64_t>(f.witnesses), 1, 64));
+    const bool named = std::any_of(f.zones.begin(), f.zones.end(),
+                                   [&own](const cluster::FailoverZone& z) { return z.name == own; });
+    if (!named) s.wrong("zones", "this router's own zone is not among them: " + own);
+    return f;
+}
+
 PeersSettings parse_peers(Section s) {
     PeersSettings p;
     if (!s.present()) return p;
@@ -97,6 +136,7 @@
     p.tombstone_keep_ms = s.whole("tombstone_keep_ms", p.tombstone_keep_ms, 10'000, 30 * 86'400'000LL);
     p.hearsay_ms = s.whole("hearsay_ms", p.hearsay_ms, 0, 30'000);
     if (p.hearsay_ms > 0 && p.hearsay_ms < 1'000) s.wrong("hearsay_ms", "0, or 1000 to 30000");
+    p.failover = parse_failover(s.child("failover"), p.zone);
     if (p.bind.empty()) s.wrong("bind", "needed: where the peers' port is");
     if (p.name.empty() || p.name.size() > 64) s.wrong("name", "needed, of 1 to 64 bytes");
     if (p.zone.size() > 32) s.wrong("zone", "at most 32 bytes");
--- a/src/config/operator.h
+++ b/src/config/operator.h
@@ -3,6 +3,7 @@
 // it.
 #pragma once
 
+#include "cluster/failover.h"
 #include "config/config.h"
 
 namespace silverrail::config {
@@ -69,6 +70,7 @@
     std::int64_t tombstone_keep_ms = 86'400'000;
     std::int64_t hearsay_ms =
         10'000;  // what others learned of boxes counts for so long; 0: nothing is shared
+    cluster::FailoverSettings failover;  // no zones: off
     bool on() const { return !bind.empty(); }
     bool operator==(const PeersSettings&) const = default;
 };
--- a/src/config/section.cpp
+++ b/src/config/section.cpp
@@ -84,6 +84,17 @@
     return out;
 }
 
+void Section::each(const char* key, std::size_t most, const std::function<void(Section&)>& read) {
+    const Json::Value& v = value(key);
+    if (v.isNull()) return;
+    if (!v.isArray() || v.size() > most)
+        return wrong(key, "expected a list of at most " + std::to_string(most));
+    for (Json::ArrayIndex i = 0; i < v.size(); ++i) {
+        Section item{v[i], at(key) + "." + std::to_string(i), problems_};
+        read(item);
+    }
+}
+
 std::vector<std::string> Section::words(const char* key, const std::vector<std::string>& known) {
     const Json::Value& v = value(key);
     std::vector<std::string> out;
--- a/src/config/section.h
+++ b/src/config/section.h
@@ -5,6 +5,7 @@
 #include <json/json.h>
 
 #include <cstdint>
+#include <functional>
 #include <set>
 #include <string>
 #include <vector>
@@ -31,6 +32,8 @@
     std::vector<std::string> words(const char* key, const std::vector<std::string>& known);
     // A list of at most `most` texts.
     std::vector<std::string> texts(const char* key, std::size_t most);
+    // A list of at most `most` objects, each read as a section of its own: `peers.zones.2.name`.
+    void each(const char* key, std::size_t most, const std::function<void(Section&)>& read);
     void wrong(const char* key, const std::string& what);  // e.g. two keys that do not go together
     std::string at(const char* key) const { return path_.empty() ? key : path_ + "." + key; }
 
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -54,6 +54,7 @@
     void each_box(const std::function<void(const Box&, bool avoided)>& see) const;
     bool is_cache(const Box& box) const { return fleet_.is_cache(box); }
     const std::string& zone() const { return fleet_.zone(); }
+    const winchflow::Settings& settings() const { return settings_; }
     // Attempts ordered to caches of other zones, by zone.
     const std::map<std::string, std::uint64_t>& sent_away() const { return sent_away_; }
     bool lists(const CacheId& box) const;
--- a/src/front/admin/admin.cpp
+++ b/src/front/admin/admin.cpp
@@ -4,6 +4,8 @@
 
 namespace silverrail::front::admin {
 
+static constexpr const char* kNoFailover = "no failover: the peers section names no zones";
+
 std::string Admin::answer(std::string_view line, bool ended) {
     const auto call = parse(line, ended);
     if (const auto* why = std::get_if<std::string>(&call)) {
@@ -19,8 +21,12 @@
         case Call::Kind::offline: return said(hands_.out(box));
         case Call::Kind::online: return said(hands_.back(box));
         case Call::Kind::members:
-            return members_ ? members_() : no("no peers: this router keeps no view of the fleet");
-        case Call::Kind::replica: return replica_ ? replica_() : no("no peers: this router shares nothing");
+            return fleet_.members ? fleet_.members() : no("no peers: this router keeps no view of the fleet");
+        case Call::Kind::replica:
+            return fleet_.replica ? fleet_.replica() : no("no peers: this router shares nothing");
+        case Call::Kind::failover: return fleet_.failover ? fleet_.failover() : no(kNoFailover);
+        case Call::Kind::pin:
+            return fleet_.pin ? said(fleet_.pin(box.address, std::get<Call>(call).how)) : no(kNoFailover);
     }
     return no("unknown call");
 }
--- a/src/front/admin/admin.h
+++ b/src/front/admin/admin.h
@@ -21,17 +21,16 @@
     virtual Verdict back(const core::CacheId& box) = 0;
 };
 
+// What the fleet answers: MEMBERS, REPLICA, FAILOVER and PIN; each empty where the router has no such part.
+struct Fleet {
+    std::function<std::string()> members{}, replica{}, failover{};
+    std::function<Verdict(const std::string& zone, const std::string& how)> pin{};
+};
+
 class Admin {
 public:
-    // `members`, `replica`: the answers to MEMBERS and REPLICA; empty where the router has no peers.
-    Admin(core::Engine& engine, Hands& hands, const Lifecycle& lifecycle, Log& log,
-          std::function<std::string()> members = {}, std::function<std::string()> replica = {})
-        : engine_(engine),
-          hands_(hands),
-          lifecycle_(lifecycle),
-          log_(log),
-          members_(std::move(members)),
-          replica_(std::move(replica)) {}
+    Admin(core::Engine& engine, Hands& hands, const Lifecycle& lifecycle, Log& log, Fleet fleet = {})
+        : engine_(engine), hands_(hands), lifecycle_(lifecycle), log_(log), fleet_(std::move(fleet)) {}
     std::string answer(std::string_view line, bool ended);
 
 private:
@@ -39,8 +38,7 @@
     Hands& hands_;
     const Lifecycle& lifecycle_;
     Log& log_;
-    std::function<std::string()> members_;
-    std::function<std::string()> replica_;
+    Fleet fleet_;
 };
 
 }  // namespace silverrail::front::admin
--- a/src/front/admin/words.cpp
+++ b/src/front/admin/words.cpp
@@ -27,7 +27,8 @@
     const std::pair<std::string_view, Call::Kind> kAlone[] = {{"HEALTH", Call::Kind::health},
                                                               {"DUMP", Call::Kind::dump},
                                                               {"MEMBERS", Call::Kind::members},
-                                                              {"REPLICA", Call::Kind::replica}};
+                                                              {"REPLICA", Call::Kind::replica},
+                                                              {"FAILOVER", Call::Kind::failover}};
     for (const auto& [name, kind] : kAlone) {
         if (word != name) continue;
         if (!alone) return std::string{word} + " takes nothing behind it";
@@ -38,7 +39,17 @@
         if (!members::Bans::fits(box)) return std::string{word} + " takes the id of one box behind it";
         return Call{word == "OFFLINE" ? Call::Kind::offline : Call::Kind::online, std::string{box}};
     }
-    return "unknown call; there are HEALTH, DUMP, MEMBERS, REPLICA, OFFLINE and ONLINE";
+    if (word == "PIN") {
+        const std::string_view rest = alone ? std::string_view{} : line.substr(word.size() + 1);
+        const auto space = rest.find(' ');
+        const std::string_view zone = rest.substr(0, space);
+        const std::string_view how =
+            space == std::string_view::npos ? std::string_view{} : rest.substr(space + 1);
+        if (!members::Bans::fits(zone) || (how != "IN" && how != "OUT" && how != "OFF"))
+            return "PIN takes a zone and IN, OUT or OFF behind it";
+        return Call{Call::Kind::pin, std::string{zone}, std::string{how}};
+    }
+    return "unknown call; there are HEALTH, DUMP, MEMBERS, REPLICA, FAILOVER, OFFLINE, ONLINE and PIN";
 }
 
 std::string yes(std::string_view words) { return line_of("ACK", words); }
--- a/src/lab/fleet.cpp
+++ b/src/lab/fleet.cpp
@@ -36,11 +36,14 @@
     throw std::runtime_error("no free port at " + ip);
 }
 
-std::string talk(unsigned short port, const std::string& bytes) {
+// Where a member listens for clients and operators; nobody connects from there.
+std::string clients_ip(std::size_t i) { return Relay::loopback(110 + i); }
+
+std::string talk(const std::string& ip, unsigned short port, const std::string& bytes) {
     asio::io_context io;
     tcp::socket s{io};
     net::error_code e;
-    s.connect(tcp::endpoint{asio::ip::make_address("127.0.0.1"), port}, e);
+    s.connect(tcp::endpoint{asio::ip::make_address(ip), port}, e);
     if (e) return {};
     // The answer comes whole or not at all within two seconds.
     timeval most{2, 0};
@@ -69,8 +72,8 @@
     std::filesystem::create_directories(folder_);
     for (std::size_t i = 0; i < options_.members; ++i) {
         peer_ports_.push_back(free_port(Relay::member_ip(i)));
-        http_ports_.push_back(free_port("127.0.0.1"));
-        control_ports_.push_back(free_port("127.0.0.1"));
+        http_ports_.push_back(free_port(clients_ip(i)));
+        control_ports_.push_back(free_port(clients_ip(i)));
         relay_.to(i, peer_ports_[i]);
     }
 }
@@ -86,7 +89,9 @@
 std::string Fleet::peer_address(std::size_t i) const {
     return Relay::member_ip(i) + ":" + std::to_string(peer_ports_.at(i));
 }
-std::string Fleet::http(std::size_t i) const { return "127.0.0.1:" + std::to_string(http_ports_.at(i)); }
+std::string Fleet::http(std::size_t i) const {
+    return clients_ip(i) + ":" + std::to_string(http_ports_.at(i));
+}
 
 void Fleet::start(std::size_t i) {
     if (pids_.at(i) > 0) kill(i);
@@ -104,7 +109,8 @@
     for (const auto& b : listed) {
         boxes += boxes.empty() ? R"({"id":")" : R"(,{"id":")";
         boxes += b.id + R"(","addr":")" + b.address + R"(","zone":")" + b.zone + R"(","kind":")" + b.kind;
-        boxes += R"(","cell":1,"state":")" + b.state + R"(","weight":10,"started_ms":0})";
+        boxes += R"(","cell":1,"state":")" + b.state + R"(","weight":)" + std::to_string(b.weight) +
+                 R"(,"started_ms":0})";
     }
     std::size_t in_zone = options_.members;
     if (placed)
@@ -121,8 +127,8 @@
         << R"({"name":"lodge","aim":700000000,"give-up":5000000000,"effect":"side_effect"}],"zone":")" << own
         << R"(","dcs":[")" << own << R"("],"weights":"rough","balancers":)" << options_.members
         << R"(,"kinds":["small-box","parent","origin"],"family-info":{"second-tier-kind":1,"origin-kind":2,)"
-        << R"("zone-balancers":[)" << in_zone << R"(],"uncached":[false,true],"detail":"all"},"invariants":)"
-        << options_.rules << "}}";
+        << R"("zone-balancers":[)" << in_zone << R"(],"uncached":[false,true],"detail":"all")"
+        << options_.family << R"(},"invariants":)" << options_.rules << "}}";
     std::ofstream{dir / "settings.json"} << R"({"peers":{"name":")" << name(i) << R"(","zone":")"
                                          << (placed ? own : "z" + std::to_string(i % 3)) << R"(","region":")"
                                          << (placed ? options_.places[i].region : "r1") << R"(","bind":")"
@@ -136,7 +142,7 @@
         ::prctl(PR_SET_PDEATHSIG, SIGKILL);  // a test that fails leaves nobody behind
         ::setenv("EDGE_CONFIG", (dir / "config.json").c_str(), 1);
         ::setenv("SILVERRAIL_SETTINGS", (dir / "settings.json").c_str(), 1);
-        ::setenv("EDGE_CONTROL", ("127.0.0.1:" + std::to_string(control_ports_[i])).c_str(), 1);
+        ::setenv("EDGE_CONTROL", (clients_ip(i) + ":" + std::to_string(control_ports_[i])).c_str(), 1);
         ::setenv("TMPDIR", dir.c_str(), 1);
         ::unsetenv("EDGE_LISTEN");
         ::dup2(fds[1], STDERR_FILENO);
@@ -184,7 +190,7 @@
 }
 
 std::string Fleet::call(std::size_t i, const std::string& line) {
-    return talk(control_ports_.at(i), line + "\n");
+    return talk(clients_ip(i), control_ports_.at(i), line + "\n");
 }
 
 int Fleet::ask(std::size_t i, const std::string& class_name, std::uint64_t object, std::string* id) {
@@ -195,10 +201,11 @@
     char path[64];
     std::snprintf(path, sizeof path, "/%016llx/piece-0", static_cast<unsigned long long>(object));
     const auto text =
-        talk(http_ports_.at(i), (write ? "PUT /ops/" : "GET /ops/") + class_name + path +
-                                    " HTTP/1.1\r\nHost: fleet\r\nTrace-Id: " + call_id +
-                                    "\r\nMax-Wait-Ms: 1500\r\nX-Lot: 1\r\n" + "Connection: close\r\n" +
-                                    (write ? "Content-Length: 9\r\n\r\ntimesheet" : "\r\n"));
+        talk(clients_ip(i), http_ports_.at(i),
+             (write ? "PUT /ops/" : "GET /ops/") + class_name + path +
+                 " HTTP/1.1\r\nHost: fleet\r\nTrace-Id: " + call_id +
+                 "\r\nMax-Wait-Ms: 1500\r\nX-Lot: 1\r\nReserve-Kb: 25\r\n" + "Connection: close\r\n" +
+                 (write ? "Content-Length: 9\r\n\r\ntimesheet" : "\r\n"));
     const std::string_view kHead = "HTTP/1.1 ";
     if (text.rfind(kHead, 0) != 0) return 0;
     if (text.find(kHead, kHead.size()) != std::string::npos) return -1;
@@ -231,8 +238,8 @@
 }
 
 std::map<std::string, std::uint64_t> Fleet::counters(std::size_t i) {
-    const auto text =
-        talk(http_ports_.at(i), "GET /counters HTTP/1.1\r\nHost: fleet\r\nConnection: close\r\n\r\n");
+    const auto text = talk(clients_ip(i), http_ports_.at(i),
+                           "GET /counters HTTP/1.1\r\nHost: fleet\r\nConnection: close\r\n\r\n");
     std::map<std::string, std::uint64_t> out;
     const auto body = text.find("\r\n\r\n");
     if (body == std::string::npos) return out;
--- a/src/lab/fleet.h
+++ b/src/lab/fleet.h
@@ -40,9 +40,11 @@
         // The boxes in member i's list; absent: forty of zone edge-1 that nobody listens for.
         struct ListedBox {
             std::string id, address, zone, kind = "small-box", state = "active";
+            int weight = 10;
         };
         std::function<std::vector<ListedBox>(std::size_t)> boxes{};
         std::string rules = "{}";  // the settings' `invariants`, as JSON text
+        std::string family{};      // more keys of `family-info`, as JSON text starting with a comma
     };
     explicit Fleet(Options options);
     ~Fleet();
--- a/src/lab/relay.cpp
+++ b/src/lab/relay.cpp
@@ -1,5 +1,7 @@
 #include "lab/relay.h"
 
+#include <unistd.h>
+
 namespace silverrail::lab {
 
 namespace asio = net::asio;
@@ -94,11 +96,16 @@
 }
 
 std::optional<std::size_t> Relay::who(const asio::ip::address& source) const {
-    if (!source.is_v4()) return std::nullopt;
-    const auto bytes = source.to_v4().to_bytes();
-    if (bytes[0] != 127 || bytes[1] != 0 || bytes[2] != 0 || bytes[3] < 10) return std::nullopt;
-    const std::size_t i = bytes[3] - 10u;
-    return i < ports_.size() ? std::optional{i} : std::nullopt;
+    for (std::size_t i = 0; i < ports_.size(); ++i)
+        if (source == asio::ip::make_address(member_ip(i))) return i;
+    return std::nullopt;
+}
+
+std::string Relay::loopback(std::size_t last) {
+    // Once: a member forked off asks too, before it is another program.
+    static const auto pid = static_cast<unsigned>(::getpid());
+    return "127." + std::to_string(1 + pid / 250 % 250) + "." + std::to_string(1 + pid % 250) + "." +
+           std::to_string(last);
 }
 
 void Relay::receive(std::size_t i) {
--- a/src/lab/relay.h
+++ b/src/lab/relay.h
@@ -1,6 +1,6 @@
 // A fault relay of the project's own between peers on loopback: every datagram and stream to a member goes
 // through its relay, which delays (with jitter), drops, duplicates, reorders or cuts it, by the test's word
-// at run time. Members bind 127.0.0.(10 + i) and tell the relay's address as theirs, so the relay knows who
+// at run time. Members bind member_ip(i) and tell the relay's address as theirs, so the relay knows who
 // sends by the source address alone. Runs on a thread of its own; bounded: at most 4,096 datagrams held, 64
 // streams.
 #pragma once
@@ -30,7 +30,10 @@
     Relay(std::size_t members, std::uint64_t seed);
     ~Relay();
     // Where member i binds, with the port given, and where the others reach it.
-    static std::string member_ip(std::size_t i) { return "127.0.0." + std::to_string(10 + i); }
+    static std::string member_ip(std::size_t i) { return loopback(10 + i); }
+    // Loopback addresses of this test process's own: a port let go for a member to take is else soon
+    // somebody's who connects from 127.0.0.1, or another fleet's beside this one.
+    static std::string loopback(std::size_t last);
     std::string address(std::size_t i) const;
     void to(std::size_t i, unsigned short port);  // member i's own port, once known
     // What happens on the way from `from` to `to`; the same for both ways with `both`.
--- a/tests/cluster/failover_test.cpp
+++ b/tests/cluster/failover_test.cpp
@@ -40,14 +40,15 @@
         Entry entry{{{origin, {++numbers, 0, stamp, value}}}, stamp};
         in[key] = entry;
     }
-    void report(const std::string& router, int health) {
-        put(reports, report_key("zone/" + alive.at(router), router), router, std::to_string(health));
+    void report(const std::string& router, int health, int warm = 100) {
+        put(reports, report_key("zone/" + alive.at(router), router), router,
+            text_of(Health{health, std::min(health, warm)}));
     }
-    void health(const std::string& zone, int h) {
+    void health(const std::string& zone, int h, int warm = 100) {
         for (const auto& [router, its] : alive)
-            if (its == zone) report(router, h);
+            if (its == zone) report(router, h, warm);
     }
-    Failover::Input input(Time now, int own = 100) const {
+    Failover::Input input(Time now, Health own = {}) const {
         return {now, unix_now, own, alive, &reports, &shared, weights};
     }
 };
@@ -87,22 +88,43 @@
 
 void check_health() {
     using Boxes = std::vector<ZoneBox>;
+    const auto box = [](double weight, bool avoided, bool banned = false, std::optional<bool> probed = {},
+                        double warm = 1) {
+        return ZoneBox{weight, avoided, banned, probed, warm};
+    };
     const struct {
         Boxes boxes;
         bool steered;
-        int health;
-    } kCases[] = {{{}, false, 100},
-                  {{{}, {}}, false, 100},
-                  {{{1, true, false, {}}, {}}, false, 50},
-                  {{{1, true, false, {}}, {1, true, false, {}}}, false, 0},
-                  {{{1, false, true, {}}, {}}, false, 50},      // by hand
-                  {{{3, true, false, {}}, {}}, false, 25},      // by weight
-                  {{{}, {}, {1, true, false, {}}}, false, 65},  // in fives, downwards
-                  {{{1, false, false, false}, {}}, false, 50},  // looked at on another's word, and down
-                  {{{1, true, false, true}, {}}, false, 50},    // connects, but fails its requests
-                  {{{}, {1, false, false, true}}, true, 50},    // steered: only connects tell
-                  {{{1, true, false, true}, {}}, true, 50}};
+        Health health;
+    } kCases[] = {{{}, false, {100, 100}},
+                  {{box(1, false), box(1, false)}, false, {100, 100}},
+                  {{box(1, true), box(1, false)}, false, {50, 50}},
+                  {{box(1, true), box(1, true)}, false, {0, 0}},
+                  {{box(1, false, true), box(1, false)}, false, {50, 50}},          // by hand
+                  {{box(3, true), box(1, false)}, false, {25, 25}},                 // by weight
+                  {{box(1, false), box(1, false), box(1, true)}, false, {65, 65}},  // in fives, downwards
+                  {{box(1, false, false, false), box(1, false)}, false, {50, 50}},  // looked at, and down
+                  {{box(1, true, false, true), box(1, false)}, false, {50, 50}},  // connects, fails requests
+                  {{box(1, false), box(1, false, false, true)}, true, {50, 50}},  // only connects tell
+                  {{box(1, true, false, true), box(1, false)}, true, {50, 50}},
+                  {{box(1, false, false, {}, 0.3), box(1, false)}, false, {100, 65}},  // up, and cold
+                  {{box(1, true, false, {}, 0.3), box(1, false)}, false, {50, 50}}};
     for (const auto& c : kCases) CHECK(health_of(c.boxes, c.steered) == c.health);
+    const struct {
+        const char* text;
+        std::optional<Health> health;
+    } kReports[] = {{"100 100", Health{100, 100}},
+                    {"0 0", Health{0, 0}},
+                    {"95 40", Health{95, 40}},
+                    {"", {}},
+                    {"95", {}},
+                    {"95 ", {}},
+                    {" 95", {}},
+                    {"95 101", {}},
+                    {"-1 0", {}},
+                    {"95 4x", {}},
+                    {"9 4 0", {}}};
+    for (const auto& c : kReports) CHECK(health_of_report(c.text) == c.health);
 }
 
 // What zone a's decision comes to be, of one look at the state.
@@ -240,6 +262,25 @@
     CHECK(r.written.size() == 5 && r.of("c2", "a").out() == 0 && r.of("c2", "a").epoch == 5);
     for (std::size_t i = 1; i < r.written.size(); ++i)
         CHECK(r.written[i].first - r.written[i - 1].first >= settings().hold);
+    // Boxes that come back cold: the first step lets them in, the next ones follow what they bear.
+    r.w.health("a", 0);
+    r.run(3s);
+    CHECK(r.of("b0", "a").out() == 100);
+    const auto epoch = r.of("b0", "a").epoch;
+    r.w.health("a", 100, 25);
+    r.run(20s);
+    CHECK(r.of("b0", "a").out() == 65 && r.of("b0", "a").epoch == epoch + 2);
+    r.w.health("a", 100, 50);  // seven in ten
+    r.run(20s);
+    CHECK(r.of("b0", "a").out() == 30);
+    r.w.health("a", 100);
+    r.run(20s);
+    CHECK(r.of("b0", "a").out() == 0);
+    // Cold, but there: no reason to leave.
+    r.w.health("a", 100, 25);
+    r.run(20s);
+    CHECK(r.of("b0", "a").out() == 0);
+    r.w.health("a", 100);
     // Flapping faster than the hold-down: at most one change in each.
     const auto before = r.written.size(), seen = r.changes;
     for (int i = 0; i < 60; ++i) {
--- a/tests/fleet/fleet_test.cpp
+++ b/tests/fleet/fleet_test.cpp
@@ -2,7 +2,6 @@
 // bad links, a partition and its healing, a restart under the same name, many joining at once, and bad peers.
 // What was shared of bans, boxes and drains. One scenario a run, named by the first argument, so that ctest
 // runs them side by side.
-#include "lab/fleet.h"
 
 #include <signal.h>
 
@@ -13,8 +12,8 @@
 #include <optional>
 #include <string>
 
-#include "../silverrail/check.h"
 #include "cluster/wire.h"
+#include "common.h"
 #include "lab/farm.h"
 #include "net/peer.h"
 
@@ -24,25 +23,6 @@
 
 namespace {
 
-// Probes every 250 ms; a suspicion waits 3 s at least (12 * 250 ms) and 6 s at most: a stall of 3 s is not
-// a death, a crash is one within 5 s.
-lab::Fleet::Options options(std::size_t members) {
-    return {members, SILVERRAIL_PROGRAM,
-            R"(,"probe_ms":250,"probe_timeout_ms":100,"push_pull_ms":1000,"dead_keep_ms":30000,)"
-            R"("suspicion_mult":12,"suspicion_max_mult":2,"replica_ms":250)",
-            7};
-}
-
-void start_all(Fleet& fleet, std::size_t from, std::size_t to) {
-    for (std::size_t i = from; i < to; ++i) fleet.start(i);
-}
-
-std::size_t lines(const std::string& log, const std::string& what) {
-    std::size_t n = 0;
-    for (auto at = log.find(what); at != std::string::npos; at = log.find(what, at + 1)) ++n;
-    return n;
-}
-
 // No member of the fleet has declared anyone dead.
 bool no_death(Fleet& fleet) {
     for (std::size_t i = 0; i < 8; ++i)
@@ -54,7 +34,7 @@
     Fleet fleet{options(8)};
     const auto began = std::chrono::steady_clock::now();
     start_all(fleet, 0, 8);
-    CHECK(fleet.wait_until([&] { return fleet.agree(); }, 3s));
+    CHECK(agreed(fleet, 3s));
     std::printf("join: 8 agree after %lld ms\n",
                 static_cast<long long>(std::chrono::duration_cast<std::chrono::milliseconds>(
                                            std::chrono::steady_clock::now() - began)
@@ -69,7 +49,7 @@
 void crash() {
     Fleet fleet{options(8)};
     start_all(fleet, 0, 8);
-    CHECK(fleet.wait_until([&] { return fleet.agree(); }, 3s));
+    CHECK(agreed(fleet, 3s));
     fleet.kill(4);
     CHECK(fleet.wait_until([&] { return fleet.everyone_sees(4, "dead"); }, 5s));
     CHECK(fleet.agree());
@@ -78,7 +58,7 @@
 void stall() {
     Fleet fleet{options(8)};
     start_all(fleet, 0, 8);
-    CHECK(fleet.wait_until([&] { return fleet.agree(); }, 3s));
+    CHECK(agreed(fleet, 3s));
     fleet.signal(2, SIGSTOP);
     const auto stopped = std::chrono::steady_clock::now();
     bool suspected = false;
@@ -90,7 +70,7 @@
         4s);
     CHECK(suspected);
     fleet.signal(2, SIGCONT);
-    CHECK(fleet.wait_until([&] { return fleet.agree(); }, 3s));
+    CHECK(agreed(fleet, 3s));
     CHECK(fleet.view(0)["m2"].incarnation >= 1);  // it refuted
     // Its log comes over a pipe, maybe after the views.
     CHECK(fleet.wait_until([&] { return lines(fleet.log(2), "member-refute ") >= 1; }, 2s));
@@ -101,7 +81,7 @@
 void bad_links() {
     Fleet fleet{options(8)};
     start_all(fleet, 0, 8);
-    CHECK(fleet.wait_until([&] { return fleet.agree(); }, 3s));
+    CHECK(agreed(fleet, 3s));
     auto& relay = fleet.relay();
     relay.set(1, 2, {.cut = true});  // one way only
     for (std::size_t a = 0; a < 8; ++a)
@@ -113,7 +93,7 @@
     fleet.wait_until([] { return false; }, 10s);
     CHECK(no_death(fleet));
     relay.clear();
-    CHECK(fleet.wait_until([&] { return fleet.agree(); }, 5s));
+    CHECK(agreed(fleet, 5s));
     std::printf("bad links: %llu datagrams dropped, %llu passed\n",
                 static_cast<unsigned long long>(relay.dropped()),
                 static_cast<unsigned long long>(relay.passed()));
@@ -122,7 +102,7 @@
 void partition() {
     Fleet fleet{options(8)};
     start_all(fleet, 0, 8);
-    CHECK(fleet.wait_until([&] { return fleet.agree(); }, 3s));
+    CHECK(agreed(fleet, 3s));
     for (std::size_t a = 0; a < 5; ++a)
         for (std::size_t b = 5; b < 8; ++b) fleet.relay().set_both(a, b, {.cut = true});
     // Each side loses sight of the other (suspect, then dead), for 10 s.
@@ -139,7 +119,7 @@
                 fleet.view(6)["m1"].state.c_str());
     fleet.relay().clear();
     const auto healed = std::chrono::steady_clock::now();
-    CHECK(fleet.wait_until([&] { return fleet.agree(); }, 5s));
+    CHECK(agreed(fleet, 5s));
     std::printf("partition: one view %lld ms after healing\n",
                 static_cast<long long>(std::chrono::duration_cast<std::chrono::milliseconds>(
                                            std::chrono::steady_clock::now() - healed)
@@ -149,7 +129,7 @@
 void restart() {
     Fleet fleet{options(8)};
     start_all(fleet, 0, 8);
-    CHECK(fleet.wait_until([&] { return fleet.agree(); }, 3s));
+    CHECK(agreed(fleet, 3s));
     const auto before = fleet.view(0)["m5"].start;
     fleet.kill(5);
     fleet.start(5);
@@ -170,7 +150,7 @@
 void crowd() {
     Fleet fleet{options(8)};
     start_all(fleet, 0, 4);
-    CHECK(fleet.wait_until([&] { return fleet.agree(); }, 3s));
+    CHECK(agreed(fleet, 3s));
     start_all(fleet, 4, 8);  // four at once
     CHECK(fleet.wait_until([&] { return fleet.agree() && fleet.view(0).size() == 8; }, 5s));
 }
@@ -189,18 +169,11 @@
     return true;
 }
 
-bool ack(const std::string& answer) { return answer.rfind("ACK", 0) == 0; }
-
-long long since(std::chrono::steady_clock::time_point began) {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - began)
-        .count();
-}
-
 // A ban on one router is in force on all, and so is its end; both over a restart of all.
 void bans() {
     Fleet fleet{options(8)};
     start_all(fleet, 0, 8);
-    CHECK(fleet.wait_until([&] { return fleet.agree(); }, 3s));
+    CHECK(agreed(fleet, 3s));
     auto began = std::chrono::steady_clock::now();
     CHECK(ack(fleet.call(3, "OFFLINE b-1")));
     CHECK(fleet.wait_until([&] { return all_out(fleet, 1); }, 2s));
@@ -218,7 +191,7 @@
 void catch_up() {
     Fleet fleet{options(8)};
     start_all(fleet, 0, 8);
-    CHECK(fleet.wait_until([&] { return fleet.agree(); }, 3s));
+    CHECK(agreed(fleet, 3s));
     for (std::size_t k = 0; k < 20; ++k) CHECK(ack(fleet.call(k % 8, "OFFLINE " + Fleet::box(k))));
     CHECK(fleet.wait_until([&] { return all_out(fleet, 20); }, 4s));
     fleet.kill(5);
@@ -248,7 +221,7 @@
 void split_bans() {
     Fleet fleet{options(8)};
     start_all(fleet, 0, 8);
-    CHECK(fleet.wait_until([&] { return fleet.agree(); }, 3s));
+    CHECK(agreed(fleet, 3s));
     CHECK(ack(fleet.call(0, "OFFLINE b-0")) && ack(fleet.call(1, "OFFLINE b-1")));
     CHECK(fleet.wait_until([&] { return all_out(fleet, 2); }, 2s));
     for (std::size_t a = 0; a < 5; ++a)
@@ -273,7 +246,7 @@
 void damaged_store() {
     Fleet fleet{options(4)};
     start_all(fleet, 0, 4);
-    CHECK(fleet.wait_until([&] { return fleet.agree(); }, 3s));
+    CHECK(agreed(fleet, 3s));
     for (std::size_t k = 0; k < 3; ++k) CHECK(ack(fleet.call(k, "OFFLINE " + Fleet::box(k))));
     CHECK(fleet.wait_until([&] { return all_out(fleet, 3); }, 2s));
     fleet.kill(2);
@@ -297,7 +270,7 @@
 void bad_updates() {
     Fleet fleet{options(3)};
     start_all(fleet, 0, 3);
-    CHECK(fleet.wait_until([&] { return fleet.agree(); }, 3s));
+    CHECK(agreed(fleet, 3s));
     CHECK(ack(fleet.call(1, "OFFLINE b-1")));
     CHECK(fleet.wait_until([&] { return all_out(fleet, 1); }, 2s));
     const auto digest = fleet.digest(0);
@@ -366,7 +339,7 @@
     lab::Farm farm{6, 8};
     Fleet fleet{before(farm, 0)};
     start_all(fleet, 0, 8);
-    CHECK(fleet.wait_until([&] { return fleet.agree(); }, 3s));
+    CHECK(agreed(fleet, 3s));
     ask_all(fleet, 0, 8, 40);
     CHECK(farm.asked_since({1}, {}) > 8);
     // Router 0's link alone: it keeps away by itself, the others go on.
@@ -442,7 +415,7 @@
 void bad_peers() {
     Fleet fleet{options(3)};
     start_all(fleet, 0, 3);
-    CHECK(fleet.wait_until([&] { return fleet.agree(); }, 3s));
+    CHECK(agreed(fleet, 3s));
     namespace asio = net::asio;
     asio::io_context io;
     const auto at = *net::Peer::endpoint_of(fleet.peer_address(0));
@@ -496,30 +469,20 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-    const struct {
-        const char* name;
-        void (*run)();
-    } kScenarios[] = {{"join", join},
-                      {"crash", crash},
-                      {"stall", stall},
-                      {"bad_links", bad_links},
-                      {"partition", partition},
-                      {"restart", restart},
-                      {"crowd", crowd},
-                      {"bad_peers", bad_peers},
-                      {"bans", bans},
-                      {"catch_up", catch_up},
-                      {"split_bans", split_bans},
-                      {"damaged_store", damaged_store},
-                      {"bad_updates", bad_updates},
-                      {"learned", learned},
-                      {"drains", drains}};
-    for (const auto& s : kScenarios)
-        if (argc > 1 && std::strcmp(argv[1], s.name) == 0) {
-            s.run();
-            std::printf("fleet %s: as it should be\n", s.name);
-            return 0;
-        }
-    std::fprintf(stderr, "which scenario?\n");
-    return 2;
+    return play(argc, argv,
+                {{"join", join},
+                 {"crash", crash},
+                 {"stall", stall},
+                 {"bad_links", bad_links},
+                 {"partition", partition},
+                 {"restart", restart},
+                 {"crowd", crowd},
+                 {"bad_peers", bad_peers},
+                 {"bans", bans},
+                 {"catch_up", catch_up},
+                 {"split_bans", split_bans},
+                 {"damaged_store", damaged_store},
+                 {"bad_updates", bad_updates},
+                 {"learned", learned},
+                 {"drains", drains}});
 }
--- a/tests/silverrail/admin_test.cpp
+++ b/tests/silverrail/admin_test.cpp
@@ -27,6 +27,15 @@
         {"DUMP", true, Kind::dump},
         {"MEMBERS", true, Kind::members},
         {"MEMBERS all", true, std::nullopt},
+        {"FAILOVER", true, Kind::failover},
+        {"FAILOVER z1", true, std::nullopt},
+        {"PIN z1 OUT", true, Kind::pin, "z1"},
+        {"PIN z1 OFF\r", true, Kind::pin, "z1"},
+        {"PIN", true, std::nullopt},
+        {"PIN z1", true, std::nullopt},
+        {"PIN z1 out", true, std::nullopt},
+        {"PIN  OUT", true, std::nullopt},
+        {"PIN z1 OUT now", true, std::nullopt},
         {"HEALTH\r", true, Kind::health},
         {"HEALTH", false, std::nullopt},   // half a call, then closed
         {"", true, std::nullopt},          // an empty line
