Simulate failover at any size, and settle it sooner and with less noise by what that showed

Cause of the time: news goes to three and is told on once, which misses some 6%; those waited for a round (one a second, to one member). Of the noise: every report was told, and the median of one moment was acted on.

Change: rounds each fifth of the period for 2 s after a change was heard of (Replica::tick, off for reports); a report is said when it leaps or its difference has lasted 2 s; health is smoothed over 5 s but a leap of a quarter counts at once (Failover::look). Grouping of the view is kept until the view changes.

--- a/src/app/failover_part.cpp
+++ b/src/app/failover_part.cpp
@@ -98,9 +98,10 @@
     in.now = world_.peers.now();
     in.unix_now = world_.clock.unix_ms();
     in.health = health_;
-    in.alive[name_] = zone_;
+    std::map<std::string, std::string> alive{{name_, zone_}};
     for (const auto& [name, member] : world_.peers.view().view())
-        if (member.record.state == cluster::State::alive) in.alive[name] = member.record.who.zone;
+        if (member.record.state == cluster::State::alive) alive[name] = member.record.who.zone;
+    in.alive = &alive;
     in.reports = &world_.reports.entries();
     in.shared = &world_.shared.entries();
     in.weights = weights_;
--- a/src/app/replica_part.cpp
+++ b/src/app/replica_part.cpp
@@ -11,6 +11,7 @@
 cluster::ReplicaSettings settings_of(const config::PeersSettings& p) {
     cluster::ReplicaSettings s;
     s.interval = std::chrono::milliseconds{p.replica_ms};
+    s.quick = s.interval / 5;
     s.tombstone_keep = p.tombstone_keep_ms;
     return s;
 }
@@ -20,6 +21,7 @@
     cluster::ReplicaSettings s;
     s.channel = 1;
     s.interval = std::chrono::milliseconds{p.replica_ms};
+    s.quick = cluster::Time{0};  // reports are many, and one that is missed is one of several
     s.value_keep = 60'000;
     s.tombstone_keep = 120'000;
     return s;
--- a/src/cli/lab.cpp
+++ b/src/cli/lab.cpp
@@ -4,6 +4,7 @@
 #include <map>
 #include <memory>
 
+#include "lab/failover_sim.h"
 #include "lab/fleet_sim.h"
 #include "lab/replica_sim.h"
 
@@ -108,6 +109,32 @@
     });
 }
 
+void add_failover(CLI::App& lab, int& code) {
+    auto* failover = lab.add_subcommand(
+        "failover", "failover in common: until a region agrees, flaps under noise, what is kept near");
+    auto o = std::make_shared<lab::FailoverSimOptions>();
+    failover->add_option("--members", o->members, "how many routers")->check(CLI::Range(9, 4000));
+    failover->add_option("--seed", o->seed, "the same seed gives the same run");
+    failover->add_option("--loss", o->loss, "share of datagrams lost")->check(CLI::Range(0.0, 0.9));
+    failover->add_option("--calm-s", o->calm_s, "how long each quiet part lasts")
+        ->check(CLI::Range(10, 36000));
+    failover->callback([o, &code] {
+        std::puts(
+            "members,zones,regions,seed,rest_bytes_per_s,kept_near,calm_changes,region_ms,fleet_ms,epochs,"
+            "written,"
+            "without_decider_ms,back_ms,threshold_changes_per_h,threshold_flaps_per_h");
+        const auto f = lab::measure_failover(*o);
+        std::printf("%zu,%zu,%zu,%llu,%.0f,%.4f,%llu,%lld,%lld,%llu,%llu,%lld,%lld,%.0f,%.0f\n", o->members,
+                    f.zones, f.regions, static_cast<unsigned long long>(o->seed), f.rest_bytes_per_s,
+                    f.kept_near, static_cast<unsigned long long>(f.calm_changes),
+                    static_cast<long long>(f.region_ms), static_cast<long long>(f.fleet_ms),
+                    static_cast<unsigned long long>(f.epochs), static_cast<unsigned long long>(f.written),
+                    static_cast<long long>(f.without_ms), static_cast<long long>(f.back_ms), f.changes_per_h,
+                    f.flaps_per_h);
+        if (f.region_ms < 0 || f.fleet_ms < 0 || f.without_ms < 0 || f.back_ms < 0) code = 1;
+    });
+}
+
 }  // namespace
 
 void add_lab(CLI::App& app, int& code) {
@@ -116,6 +143,7 @@
     add_fleet(*lab, code);
     add_replica(*lab);
     add_check(*lab, code);
+    add_failover(*lab, code);
 }
 
 }  // namespace silverrail::cli
--- a/src/cluster/failover.cpp
+++ b/src/cluster/failover.cpp
@@ -17,6 +17,12 @@
 constexpr Time kSettle{1000};
 constexpr std::size_t kLastTurn = 9;  // further ranks write in the same slot
 constexpr int kMostDamp = 8;
+// Noise of a few boxes that come and go is no cause for a change; a leap is.
+constexpr double kLeap = 25;
+constexpr std::chrono::duration<double> kSmoothOver{5};
+// A smaller difference is reported once it has lasted.
+constexpr int kWorthSaying = 25;
+constexpr Time kLasting{2000};
 const std::string kReports = "zone/";
 
 int number_of(std::string_view text, int most) {
@@ -122,27 +128,26 @@
     return at == settings_.zones.end() ? kNone : at->region;
 }
 
-// Those of its routers alive that come first by hash: the same few on every router that has the same view.
-std::vector<std::string> Failover::witnesses(const std::string& zone, const Input& in) const {
-    std::vector<std::pair<std::uint64_t, std::string>> order;
-    for (const auto& [member, its] : in.alive)
-        if (its == zone) order.emplace_back(fnv(fnv(kFnvBasis, zone), member), member);
-    auto out = in_order(std::move(order));
-    if (out.size() > settings_.witnesses) out.resize(settings_.witnesses);
-    return out;
-}
-
-bool Failover::witness(const Input& in) const {
-    const auto all = witnesses(zone_, in);
-    return zones_.contains(zone_) && std::find(all.begin(), all.end(), name_) != all.end();
+// A zone's witnesses are the same few on every router that has the same view.
+void Failover::group(const std::map<std::string, std::string>& alive) {
+    if (looked_ && alive == alive_) return;
+    alive_ = alive;
+    std::map<std::string, std::vector<std::pair<std::uint64_t, std::string>>> by_zone;
+    for (const auto& [member, zone] : alive_)
+        if (zones_.contains(zone)) by_zone[zone].emplace_back(fnv(fnv(kFnvBasis, zone), member), member);
+    witnesses_.clear();
+    for (auto& [name, z] : zones_) {
+        z.alive = by_zone[name].size();
+        auto order = in_order(std::move(by_zone[name]));
+        order.resize(std::min(order.size(), settings_.witnesses));
+        witnesses_[name] = {order.begin(), order.end()};
+    }
 }
 
 // What the view, the reports and the replicated state say now.
 void Failover::look(const Input& in) {
     std::size_t configured = 0, alive = 0;
-    for (auto& [name, z] : zones_) z.alive = 0;
-    for (const auto& [member, zone] : in.alive)
-        if (const auto z = zones_.find(zone); z != zones_.end()) ++z->second.alive;
+    group(*in.alive);
     for (const auto& z : settings_.zones) {
         if (z.region != region_of(zone_)) continue;
         configured += z.routers;
@@ -151,8 +156,7 @@
     quorum_ = 2 * alive > configured;
     for (auto& [name, z] : zones_) {
         const auto subject = kReports + name;
-        const auto who = witnesses(name, in);
-        const std::set<std::string> counted(who.begin(), who.end());
+        const auto& counted = witnesses_.at(name);
         const auto reports = reports_in(*in.reports, subject + '\t', in.unix_now, 0,
                                         [&](const std::string& r) { return counted.contains(r); });
         std::vector<int> seen, warm;
@@ -168,6 +172,12 @@
             std::sort(seen.begin(), seen.end());
             std::sort(warm.begin(), warm.end());
             z.health = seen[seen.size() / 2];
+            const double gap = *z.health - z.smooth;
+            if (!last_ || *z.health == 0 || std::abs(gap) >= kLeap)
+                z.smooth = *z.health;
+            else
+                z.smooth +=
+                    gap * (1 - std::exp(-std::chrono::duration<double>(in.now - *last_) / kSmoothOver));
             z.warm = warm[warm.size() / 2];
         }
         const auto pin = in.shared->find(pin_key(name));
@@ -182,10 +192,10 @@
 // How much of `of`'s requests `target` may take, in per cent of them, beside what it takes from others.
 int Failover::spare(const std::string& of, const std::string& target) const {
     const auto& t = zones_.at(target);
-    if (target == of || !t.health || *t.health < settings_.panic * 100 || t.pin == Pin::out ||
+    if (target == of || !t.health || t.smooth < settings_.panic * 100 || t.pin == Pin::out ||
         t.decision.out() > 0)
         return 0;
-    double left = std::min(100.0, settings_.overprovision * *t.health);
+    double left = std::min(100.0, settings_.overprovision * t.smooth);
     for (const auto& [name, z] : zones_)
         if (const auto at = z.decision.targets.find(target); name != of && at != z.decision.targets.end())
             left -= at->second * ratio(weights_, name, target);
@@ -240,7 +250,7 @@
     const bool by_hand = z.pin != Pin::none;
     int want = z.pin == Pin::out ? 100 : 0;
     if (z.pin == Pin::none)
-        want = 100 - std::min(100, static_cast<int>(std::lround(settings_.overprovision * *z.health)));
+        want = 100 - std::min(100, static_cast<int>(std::lround(settings_.overprovision * z.smooth)));
     const bool small = std::abs(want - now) < settings_.least * 100;
     int next = now;
     if (lost || (by_hand && want > now))
@@ -301,6 +311,19 @@
     return out;
 }
 
+// Each report is told to every router: what comes and goes within a second or two is not.
+Health Failover::worth_saying(Health health, Time now) {
+    if (said_ == health) differs_since_.reset();
+    if (!said_ || (said_ != health && (health.up == 0 || std::abs(health.up - said_->up) >= kWorthSaying ||
+                                       (differs_since_ && now - *differs_since_ >= kLasting)))) {
+        said_ = health;
+        differs_since_.reset();
+    } else if (said_ != health && !differs_since_) {
+        differs_since_ = now;
+    }
+    return *said_;
+}
+
 Failover::Step Failover::tick(const Input& in) {
     Step step;
     if (!last_ || in.now - *last_ > kGap) {
@@ -308,9 +331,9 @@
         awake_ = in.now + kSettle;
         wishes_.clear();
     }
-    last_ = in.now;
     weights_ = in.weights;
     look(in);
+    last_ = in.now;
     for (auto& [name, z] : zones_) {
         const auto at = in.shared->find(decision_key(name));
         const auto d = in_force(at == in.shared->end() ? nullptr : &at->second);
@@ -348,14 +371,16 @@
         const bool back = wish.out() < z.decision.out() && z.pin == Pin::none;
         if (z.decision.epoch > 0) due = std::max(due, z.since + settings_.hold * (back ? z.damp : 1));
         ++wish.epoch;
-        const auto order = turns(name, wish.epoch, in.alive);
+        const auto order = turns(name, wish.epoch, alive_);
         const auto rank =
             static_cast<std::size_t>(std::find(order.begin(), order.end(), name_) - order.begin());
         if (in.now < due + settings_.slot * static_cast<Time::rep>(std::min(rank, kLastTurn))) continue;
         step.writes.push_back({name, wish});
     }
     step.factors = factors(in);
-    if (witness(in)) step.report = text_of(in.health);
+    const auto own = witnesses_.find(zone_);
+    if (own != witnesses_.end() && own->second.contains(name_))
+        step.report = text_of(worth_saying(in.health, in.now));
     return step;
 }
 
--- a/src/cluster/failover.h
+++ b/src/cluster/failover.h
@@ -105,8 +105,8 @@
     struct Input {
         Time now{};
         UnixMs unix_now = 0;
-        Health health{};                           // of the own zone, as this router sees it
-        std::map<std::string, std::string> alive;  // member to its zone, ourselves among them
+        Health health{};                                            // of the own zone, as this router sees it
+        const std::map<std::string, std::string>* alive = nullptr;  // member to its zone, ourselves too
         const std::map<std::string, Entry>* reports = nullptr;
         const std::map<std::string, Entry>* shared = nullptr;
         std::map<std::string, double> weights;  // of the listed boxes, by zone
@@ -134,7 +134,8 @@
         Pin pin = Pin::none;
         std::optional<int> health;  // the witnesses' median; none: too few of them
         int warm = 100;             // the same
-        std::size_t alive = 0;      // routers of it in view
+        double smooth = 100;    // the median over some seconds, but at once where it leaps: what is acted on
+        std::size_t alive = 0;  // routers of it in view
         std::uint64_t changes = 0, flaps = 0;
         // Hold-downs that the next step back waits: doubled each time the zone failed again soon after one.
         int damp = 1;
@@ -158,8 +159,8 @@
     std::map<std::string, int> spread(const std::string& zone, int out) const;
     int spare(const std::string& of, const std::string& target) const;
     std::map<std::string, double> factors(const Input& in) const;
-    bool witness(const Input& in) const;
-    std::vector<std::string> witnesses(const std::string& zone, const Input& in) const;
+    void group(const std::map<std::string, std::string>& alive);
+    Health worth_saying(Health health, Time now);
 
     std::string name_, zone_;
     FailoverSettings settings_;
@@ -167,6 +168,12 @@
     std::map<std::string, Wish> wishes_;
     std::map<std::string, int> direction_;  // of the last change, +1 out, -1 back
     std::map<std::string, double> weights_;
+    // Of the view last seen, worked out anew only when it changes: a fleet may be large, and ticks are many.
+    std::map<std::string, std::string> alive_;
+    std::map<std::string, std::set<std::string>> witnesses_;  // by zone: those alive that come first by hash
+    // What was reported last, and since when something else is seen.
+    std::optional<Health> said_;
+    std::optional<Time> differs_since_;
     bool quorum_ = false;
     bool looked_ = false;
     std::optional<Time> last_;
--- a/src/cluster/replica.cpp
+++ b/src/cluster/replica.cpp
@@ -10,6 +10,7 @@
 
 namespace {
 
+constexpr Time kQuickFor{2000};
 // Of one origin's updates in a message; well below what a frame holds.
 constexpr std::size_t kMostBytes = 512 << 10;
 
@@ -167,6 +168,7 @@
     entries_[key] = std::move(joined);
     changes_.keys.insert(key);
     touched_.insert(key);
+    heard_change_ = true;
     out.changed = true;
     return out;
 }
@@ -391,6 +393,10 @@
         next_forget_ =
             unix_now + std::max<UnixMs>(1, std::min(settings_.tombstone_keep / 20, UnixMs{60'000}));
     }
+    if (std::exchange(heard_change_, false) && settings_.quick > Time{0}) {
+        quick_until_ = now + kQuickFor;
+        next_round_ = std::min(next_round_, now + within(dice_, settings_.quick));
+    }
     const auto news = std::exchange(news_, {});
     if (peers.empty()) return out;
     for (const auto& update : news) {
@@ -405,7 +411,8 @@
     }
     if (copy_ && now - copy_->since > 10 * settings_.interval) copy_.reset();  // its giver is gone
     if (now >= next_round_) {
-        next_round_ = now + settings_.interval;
+        next_round_ =
+            now + (now < quick_until_ ? std::min(settings_.quick, settings_.interval) : settings_.interval);
         ++counts_.rounds;
         auto sum = message(ReplicaMessage::Kind::sum);
         sum.summary = summary_;
--- a/src/cluster/replica.h
+++ b/src/cluster/replica.h
@@ -116,7 +116,9 @@
 
 struct ReplicaSettings {
     std::uint8_t channel = 0;
-    Time interval{1000};                 // one exchange with one member
+    Time interval{1000};  // one exchange with one member
+    // So often for two seconds after a change was heard of: who missed its news is found soon. 0: as ever.
+    Time quick{200};
     UnixMs tombstone_keep = 86'400'000;  // the longest time away that catches up by updates alone
     // What is in force is forgotten after this, too; 0: never. Above 0 every run is an origin of its own
     // (nothing is stored), so one of which nothing is held any more counts in no summary, and goes after
@@ -218,6 +220,8 @@
     Summary summary_{};
     Stamp last_ = 0;
     Time next_round_;
+    Time quick_until_{};
+    bool heard_change_ = false;
     UnixMs next_forget_ = 0;
     std::vector<Update> news_;  // made here since the last tick
     struct Copy {               // a full copy under way
--- a/tests/cluster/failover_test.cpp
+++ b/tests/cluster/failover_test.cpp
@@ -49,7 +49,7 @@
             if (its == zone) report(router, h, warm);
     }
     Failover::Input input(Time now, Health own = {}) const {
-        return {now, unix_now, own, alive, &reports, &shared, weights};
+        return {now, unix_now, own, &alive, &reports, &shared, weights};
     }
 };
 
