Test the steering of zones in the core, failover's settings by path, and that writes really ran

Need: the core's new ways (steer, hold_out) were shown by processes only, and a fleet whose writes were all refused would have passed "no write runs twice".

Change: core_test plays a zone that half leaves (150 to 250 of 400 objects go), leaves wholly (an attempt on its way is held back at the first byte, and goes to the other zone), and comes back; boxes held out over a new list. parsers_test has seven wrong failover keys by path. failover_test asks for at least one write served, and as many runs as there were served writes.

--- a/tests/fleet/failover_test.cpp
+++ b/tests/fleet/failover_test.cpp
@@ -89,7 +89,9 @@
                                  status < 0 ? "two answers" : "none");
                     CHECK(false);
                 }
-        for (const auto& [id, times] : farm.runs()) CHECK(times == 1);
+        const auto runs = farm.runs();
+        CHECK(!runs.empty() && writes.contains(200) && runs.size() >= writes.at(200));
+        for (const auto& [id, times] : runs) CHECK(times == 1);
     }
     std::size_t served() const {
         const auto at = answers.find(200);
--- a/tests/silverrail/core_test.cpp
+++ b/tests/silverrail/core_test.cpp
@@ -413,6 +413,62 @@
     CHECK(b.engine.open() == 0);
 }
 
+// Zones by weight, and boxes held out on others' word: what the module is shown, and what is held back at the
+// first byte.
+void steered() {
+    Bench b;
+    auto far = stand::listed("s-far", "127.0.0.1:5");
+    far.entry.zone = "edge-2";
+    b.change({far});
+    const auto asked = [&b](std::size_t n) {
+        std::map<std::string, std::size_t> out;
+        for (std::size_t i = 0; i < n; ++i) {
+            Call call;
+            call.class_name = "pages";
+            call.object = std::to_string(i);
+            call.object_id = winchflow::ObjectId{7919 * i + 1};
+            call.deadline = b.clock.now() + 2s;
+            b.engine.take(std::move(call), std::make_shared<Reply>());
+            if (b.sender.out.empty()) continue;  // refused: what is cold bears little
+            ++out[b.sender.out.back().target.address];
+            b.sender.end(0, {.ending = Ending::good, .note = Note::hit, .body = "b"});
+        }
+        return out;
+    };
+    CHECK(!asked(60).contains("s-far") && b.engine.sent_away().empty());
+    // Half stays, half goes: one box there bears as much as two here.
+    b.engine.steer({{"edge-1", 0.5}, {"edge-2", 1.0}});
+    auto to = asked(400);
+    CHECK(to["s-far"] > 150 && to["s-far"] < 250 && to["s-a"] > 60 && to["s-b"] > 60);
+    CHECK(b.engine.sent_away().at("edge-2") == to["s-far"]);
+    // All goes: what was on its way to the own zone is held back, and nothing new goes there.
+    const auto on_its_way = b.ask();
+    const CacheId home = b.sender.out.at(0).target;
+    b.engine.steer({{"edge-1", 0.0}, {"edge-2", 1.0}});
+    if (home.address != "s-far") {
+        CHECK(!b.sender.events->before_first_byte(b.sender.out.at(0).key));
+        b.sender.end(0, {.ending = Ending::not_sent});
+    }
+    CHECK(b.sender.out.at(0).target.address == "s-far");
+    b.sender.end(0, {.ending = Ending::good, .note = Note::hit, .body = "b"});
+    CHECK(on_its_way->answer.kind == Answer::Kind::served);
+    CHECK(asked(50)["s-far"] == 50 && b.engine.counters().hosts_down == 2);
+    // Back: the own zone's boxes count as just started.
+    b.engine.steer({});
+    CHECK(b.engine.counters().hosts_down == 0);
+    to = asked(60);
+    CHECK(!to.contains("s-far"));
+    // Held out on others' word: as a ban, until they say otherwise; the list changes nothing of it.
+    Bench c;
+    c.engine.hold_out({CacheId{"s-a"}});
+    c.change({stand::listed("s-a", "127.0.0.1:1")});
+    CHECK(c.engine.counters().hosts_down == 1 && c.sender.forgotten == std::vector<std::string>{"s-a"});
+    (void)c.ask();
+    CHECK(c.sender.out.at(0).target.address == "s-b");
+    c.engine.hold_out({});
+    CHECK(c.engine.counters().hosts_down == 0);
+}
+
 }  // namespace
 
 int main() {
@@ -425,5 +481,6 @@
     settings_from_both_wires();
     own_copies();
     out_by_hand();
+    steered();
     std::puts("core: every case holds");
 }
--- a/tests/silverrail/parsers_test.cpp
+++ b/tests/silverrail/parsers_test.cpp
@@ -308,6 +308,22 @@
          {"peers.probe_ms: expected a whole number from 10 to 60000"}},
         {R"({"peers":{"name":"a","bind":"127.0.0.1:7946","zone":"zzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzz"}})",
          {"peers.zone: at most 32 bytes"}},
+        {R"({"peers":{"name":"a","bind":"127.0.0.1:7946","hearsay_ms":500}})",
+         {"peers.hearsay_ms: 0, or 1000 to 30000"}},
+        {R"({"peers":{"name":"a","bind":"127.0.0.1:7946","zone":"z1","failover":{"hold_ms":2000,"zones":[
+            {"name":"z1","region":"r1","routers":3},{"name":"z2","region":"r1","routers":3}]}}})",
+         {}},
+        {R"({"peers":{"name":"a","bind":"127.0.0.1:7946","zone":"z9","failover":{"panic":2,"zones":[
+            {"name":"z1","region":"r1","routers":0},{"name":"z1","region":"r=1","routers":3,"x":1}]}}})",
+         {"peers.failover.zones.0.routers: expected a whole number from 1 to 10000",
+          "peers.failover.zones.0.routers: needed: how many the zone has",
+          "peers.failover.zones.1.region: needed, of 1 to 32 plain letters without '='",
+          "peers.failover.zones.1.name: given twice: z1", "peers.failover.zones.1.x: no such setting",
+          "peers.failover.panic: expected a number from 0 to 1",
+          "peers.failover.zones: this router's own zone is not among them: z9"}},
+        {R"({"peers":{"name":"a","bind":"127.0.0.1:7946","zone":"z1","failover":{"zones":{}}}})",
+         {"peers.failover.zones: expected a list of at most 64",
+          "peers.failover.zones: this router's own zone is not among them: z1"}},
         {R"({"peers":{"name":"a","bind":"127.0.0.1:7946","gossip":1}})", {"peers.gossip: no such setting"}},
     };
     for (const auto& c : kPeers) {
