Let the fleet's parts share how figures, report subjects and the view are told

Need: second reading of the change. What was written more than once: the "PREFIX.NAME VALUE" lines (three parts, a fourth lambda in the peers'), the report subjects "box/" and "zone/" (each in two or three places), the walk over the view for who is alive (twice a tick in FailoverPart). What could be derived: HearsayPart's copy of what Hearsay holds out; a probe's time that nobody read; two early returns of Failover::factors that are one.

The log line replica-start says "replica" and "reports" without the dot. Nothing else behaves otherwise.

--- a/src/app/failover_part.cpp
+++ b/src/app/failover_part.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "cluster/hearsay.h"
+
 namespace silverrail::app {
 
 namespace {
@@ -44,10 +46,9 @@
 }
 
 // The caches of the own zone, and the weight of all zones' on the way.
-std::vector<FailoverPart::Box> FailoverPart::own_boxes() {
-    const auto alive = world_.peers.alive_names();
+std::vector<FailoverPart::Box> FailoverPart::own_boxes(const std::map<std::string, std::string>& alive) {
     const auto doubts = cluster::reports_in(
-        world_.reports.entries(), "box/", world_.clock.unix_ms(), doubt_for_,
+        world_.reports.entries(), cluster::box_subject(""), world_.clock.unix_ms(), doubt_for_,
         [&](const std::string& reporter) { return reporter != name_ && alive.contains(reporter); });
     std::vector<Box> out;
     weights_.clear();
@@ -60,7 +61,7 @@
               box.address,
               {box.entry.weight, avoided, world_.engine.bans().contains(box.entry.id), {}, warmth(box)}};
         // Another's word is no reason to believe it, but one to look.
-        b.doubted = steered() || avoided || doubts.contains("box/" + id);
+        b.doubted = steered() || avoided || doubts.contains(cluster::box_subject(id));
         const auto probe = probes_.find(id);
         if (b.doubted && probe != probes_.end() && probe->second.told)
             b.zone_box.probed = probe->second.listens;
@@ -83,13 +84,14 @@
             ++probed_;
             probes_failed_ += listens ? 0 : 1;
             if (const auto at = probes_.find(id); at != probes_.end())
-                at->second = {listens, world_.peers.now(), world_.peers.now() + kProbeEvery, true, false};
+                at->second = {listens, world_.peers.now() + kProbeEvery, true, false};
         });
     }
 }
 
 void FailoverPart::tick() {
-    const auto boxes = own_boxes();
+    const auto alive = world_.peers.alive_zones();
+    const auto boxes = own_boxes(alive);
     probe(boxes);
     std::vector<cluster::ZoneBox> zone_boxes;
     for (const auto& box : boxes) zone_boxes.push_back(box.zone_box);
@@ -99,9 +101,6 @@
     in.now = world_.peers.now();
     in.unix_now = world_.clock.unix_ms();
     in.health = health_;
-    std::map<std::string, std::string> alive{{name_, zone_}};
-    for (const auto& [name, member] : world_.peers.view().view())
-        if (member.record.state == cluster::State::alive) alive[name] = member.record.who.zone;
     in.alive = &alive;
     in.reports = &world_.reports.entries();
     in.shared = &world_.shared.entries();
@@ -109,7 +108,7 @@
     const auto step = failover_.tick(in);
 
     std::map<std::string, std::string> wanted;
-    if (step.report) wanted.emplace("zone/" + zone_, *step.report);
+    if (step.report) wanted.emplace(cluster::zone_subject(zone_), *step.report);
     for (const auto& say : voice_.tick(in.now, wanted, [](const std::string&) { return std::size_t{0}; }))
         world_.reports.say(name_, say);
     for (const auto& write : step.writes)
@@ -176,23 +175,18 @@
         if (failover_.region_of(zone) != failover_.region_of(zone_)) abroad += sent;
     }
     const auto& own = failover_.standings().at(zone_);
-    const std::pair<const char*, std::uint64_t> figures[] = {
-        {"quorum", failover_.quorum()},
-        {"health", static_cast<std::uint64_t>(health_.up)},
-        {"warm", static_cast<std::uint64_t>(health_.warm)},
-        {"epoch", own.decision.epoch},
-        {"out", static_cast<std::uint64_t>(own.decision.out())},
-        {"changes", changes},
-        {"flaps", flaps},
-        {"written", written_},
-        {"sent_out_of_zone", away},
-        {"sent_out_of_region", abroad},
-        {"probes", probed_},
-        {"probes_failed", probes_failed_}};
-    std::string out;
-    for (const auto& [name, value] : figures)
-        out += std::string{"failover."}.append(name) + " " + std::to_string(value) + "\n";
-    return out;
+    return figure_lines("failover", {{"quorum", failover_.quorum()},
+                                     {"health", static_cast<std::uint64_t>(health_.up)},
+                                     {"warm", static_cast<std::uint64_t>(health_.warm)},
+                                     {"epoch", own.decision.epoch},
+                                     {"out", static_cast<std::uint64_t>(own.decision.out())},
+                                     {"changes", changes},
+                                     {"flaps", flaps},
+                                     {"written", written_},
+                                     {"sent_out_of_zone", away},
+                                     {"sent_out_of_region", abroad},
+                                     {"probes", probed_},
+                                     {"probes_failed", probes_failed_}});
 }
 
 }  // namespace silverrail::app
--- a/src/app/failover_part.h
+++ b/src/app/failover_part.h
@@ -28,8 +28,7 @@
     std::string counters() override;
 
     // The answer to FAILOVER: a line a zone: name, region, routers alive/configured, health and warmth in per
-    // cent or
-    // "-", epoch, per cent of its requests that leave, where to, pin, changes, flaps; then "--".
+    // cent or "-", epoch, per cent of its requests that leave, where to, pin, changes, flaps; then "--".
     std::string standings() const;
     // By hand, for the fleet: `how` is IN, OUT or OFF.
     front::admin::Verdict pin(const std::string& zone, const std::string& how);
@@ -42,14 +41,13 @@
     };
     struct Probe {
         bool listens = false;
-        cluster::Time at{};  // when it was told
         cluster::Time next{};
         bool told = false, under_way = false;
     };
     void tick();
     bool steered() const;  // does the own zone get nothing?
     double warmth(const core::Box& box) const;
-    std::vector<Box> own_boxes();
+    std::vector<Box> own_boxes(const std::map<std::string, std::string>& alive);
     void probe(const std::vector<Box>& boxes);
     void logged(const cluster::Failover::Change& change);
 
--- a/src/app/hearsay_part.cpp
+++ b/src/app/hearsay_part.cpp
@@ -29,15 +29,14 @@
 
 void HearsayPart::tick() {
     const auto step = hearsay_.tick(world_.peers.now(), world_.clock.unix_ms(), boxes(),
-                                    world_.reports.entries(), world_.peers.alive_names());
+                                    world_.reports.entries(), world_.peers.alive_zones());
     for (const auto& say : step.say) world_.reports.say(name_, say);
-    if (step.out != out_) {
-        out_ = step.out;
+    if (step.changed) {
         std::set<core::CacheId> ids;
-        for (const auto& id : out_) ids.insert(core::CacheId{id});
+        for (const auto& id : step.out) ids.insert(core::CacheId{id});
         world_.engine.hold_out(std::move(ids));
-        world_.log.line("hearsay", R"({"held_out":%zu,"one":"%s"})", out_.size(),
-                        out_.empty() ? "" : out_.begin()->c_str());
+        world_.log.line("hearsay", R"({"held_out":%zu,"one":"%s"})", step.out.size(),
+                        step.out.empty() ? "" : step.out.begin()->c_str());
     }
     timer_.expires_after(kTick);
     timer_.async_wait([this](const net::error_code& error) {
@@ -47,13 +46,12 @@
 
 std::string HearsayPart::counters() {
     const auto& c = hearsay_.counts();
-    const std::pair<const char*, std::uint64_t> figures[] = {
-        {"out", hearsay_.out()},  {"said", c.said},     {"taken_back", c.taken_back},
-        {"held_out", c.held_out}, {"let_in", c.let_in}, {"panics", c.panics}};
-    std::string out;
-    for (const auto& [name, value] : figures)
-        out += std::string{"hearsay."}.append(name) + " " + std::to_string(value) + "\n";
-    return out;
+    return figure_lines("hearsay", {{"out", hearsay_.out()},
+                                    {"said", c.said},
+                                    {"taken_back", c.taken_back},
+                                    {"held_out", c.held_out},
+                                    {"let_in", c.let_in},
+                                    {"panics", c.panics}});
 }
 
 }  // namespace silverrail::app
--- a/src/app/hearsay_part.h
+++ b/src/app/hearsay_part.h
@@ -32,7 +32,6 @@
     std::string name_;
     cluster::Hearsay hearsay_;
     net::asio::steady_timer timer_;
-    std::set<std::string> out_;
 };
 
 }  // namespace silverrail::app
--- a/src/app/peers_part.cpp
+++ b/src/app/peers_part.cpp
@@ -96,10 +96,10 @@
     return out;
 }
 
-std::set<std::string> PeersPart::alive_names() const {
-    std::set<std::string> out{members_.self().who.name};
+std::map<std::string, std::string> PeersPart::alive_zones() const {
+    std::map<std::string, std::string> out{{members_.self().who.name, members_.self().who.zone}};
     for (const auto& [name, member] : members_.view())
-        if (member.record.state == cluster::State::alive) out.insert(name);
+        if (member.record.state == cluster::State::alive) out[name] = member.record.who.zone;
     return out;
 }
 
--- a/src/app/peers_part.h
+++ b/src/app/peers_part.h
@@ -4,7 +4,6 @@
 
 #include <map>
 #include <memory>
-#include <set>
 
 #include "app/part.h"
 #include "cluster/members.h"
@@ -31,9 +30,8 @@
     // they can go to.
     using ReplicaHandler = std::function<std::vector<net::Peer::Send>(const cluster::ReplicaMessage&)>;
     void replicate(std::uint8_t channel, ReplicaHandler handler) { replicas_[channel] = std::move(handler); }
-    const cluster::Members& view() const { return members_; }
-    // Names of the members alive, this one among them.
-    std::set<std::string> alive_names() const;
+    // The members alive, this one among them: name to zone.
+    std::map<std::string, std::string> alive_zones() const;
     void send(std::vector<net::Peer::Send> sends) { peer_.send(std::move(sends)); }
     std::vector<std::string> alive() const;
     cluster::Time now() const;  // since the start: the state machines' steady clock
--- a/src/app/replica_part.cpp
+++ b/src/app/replica_part.cpp
@@ -70,11 +70,11 @@
 
 ReplicaPart::ReplicaPart(World world, const config::PeersSettings& settings, const std::string& file,
                          std::uint64_t seed)
-    : ReplicaPart(world, settings, settings_of(settings), "replica.", seed ^ 0x9e3779b97f4a7c15ULL,
+    : ReplicaPart(world, settings, settings_of(settings), "replica", seed ^ 0x9e3779b97f4a7c15ULL,
                   open(file, origin_of(world, settings), world.log)) {}
 
 ReplicaPart::ReplicaPart(World world, const config::PeersSettings& settings, Ageing, std::uint64_t seed)
-    : ReplicaPart(world, settings, ageing_of(settings), "reports.", seed ^ 0xd1b54a32d192ed03ULL,
+    : ReplicaPart(world, settings, ageing_of(settings), "reports", seed ^ 0xd1b54a32d192ed03ULL,
                   Kept{origin_of(world, settings)}) {}
 
 ReplicaPart::ReplicaPart(World world, const config::PeersSettings& settings,
@@ -162,28 +162,23 @@
 
 std::string ReplicaPart::counters() {
     const auto& c = replica_.counts();
-    std::string out;
-    const auto put = [&](const char* name, std::uint64_t value) {
-        out += std::string{figures_}.append(name) + " " + std::to_string(value) + "\n";
-    };
-    put("keys", replica_.entries().size());
-    put("origins", replica_.origins().size());
-    put("applied", c.applied);
-    put("duplicates", c.duplicates);
-    put("ahead", c.ahead);
-    put("refused", c.refused);
-    put("rounds", c.rounds);
-    put("updates_sent", c.sent);
-    put("full_copies", c.full_copies);
-    put("forgotten", c.forgotten);
-    put("failed_writes", failed_writes_);
     std::uint64_t lag = 0;
     for (const auto& [origin, number] : replica_.heard()) {
         const auto held = replica_.origins().find(origin);
         lag += number - std::min(number, held == replica_.origins().end() ? 0 : held->second.number);
     }
-    put("lag", lag);
-    return out;
+    return figure_lines(figures_, {{"keys", replica_.entries().size()},
+                                   {"origins", replica_.origins().size()},
+                                   {"applied", c.applied},
+                                   {"duplicates", c.duplicates},
+                                   {"ahead", c.ahead},
+                                   {"refused", c.refused},
+                                   {"rounds", c.rounds},
+                                   {"updates_sent", c.sent},
+                                   {"full_copies", c.full_copies},
+                                   {"forgotten", c.forgotten},
+                                   {"failed_writes", failed_writes_},
+                                   {"lag", lag}});
 }
 
 }  // namespace silverrail::app
--- a/src/cluster/failover.cpp
+++ b/src/cluster/failover.cpp
@@ -23,7 +23,6 @@
 // A smaller difference is reported once it has lasted.
 constexpr int kWorthSaying = 25;
 constexpr Time kLasting{2000};
-const std::string kReports = "zone/";
 
 int number_of(std::string_view text, int most) {
     int n = -1;
@@ -90,6 +89,7 @@
     return out;
 }
 
+std::string zone_subject(const std::string& zone) { return "zone/" + zone; }
 std::string decision_key(const std::string& zone) { return "failover/" + zone; }
 std::string pin_key(const std::string& zone) { return "pin/" + zone; }
 
@@ -155,7 +155,7 @@
     }
     quorum_ = 2 * alive > configured;
     for (auto& [name, z] : zones_) {
-        const auto subject = kReports + name;
+        const auto subject = zone_subject(name);
         const auto& counted = witnesses_.at(name);
         const auto reports = reports_in(*in.reports, subject + '\t', in.unix_now, 0,
                                         [&](const std::string& r) { return counted.contains(r); });
@@ -245,11 +245,11 @@
     const auto& z = zones_.at(zone);
     const int now = z.decision.out();
     Decision d = z.decision;
-    if (z.pin == Pin::none && !z.health) return d;
-    const bool lost = z.pin == Pin::none && *z.health == 0;
     const bool by_hand = z.pin != Pin::none;
+    if (!by_hand && !z.health) return d;
+    const bool lost = !by_hand && *z.health == 0;
     int want = z.pin == Pin::out ? 100 : 0;
-    if (z.pin == Pin::none)
+    if (!by_hand)
         want = 100 - std::min(100, static_cast<int>(std::lround(settings_.overprovision * z.smooth)));
     const bool small = std::abs(want - now) < settings_.least * 100;
     int next = now;
@@ -261,7 +261,7 @@
         next = std::max(want, now - static_cast<int>(settings_.step_back * 100));
     // Back only as far as what came back is warm; what is cold is no reason to leave. The first step warms
     // it.
-    if (next < now && now < 100 && z.pin == Pin::none)
+    if (next < now && now < 100 && !by_hand)
         next = std::min(
             now, std::max(next, 100 - static_cast<int>(std::lround(settings_.overprovision * z.warm))));
     if (next == now && std::all_of(d.targets.begin(), d.targets.end(),
@@ -304,8 +304,8 @@
         away += out[name] = part / 100.0;
         together = std::min(together, 1 / (1 + share_of_guests(name)));
     }
-    if (out.empty() && (home >= 1 || home <= 0) && together >= 1) return {};
-    if (out.empty() && home <= 0) return {};  // nowhere to go: near, rather than nowhere
+    // As listed; or nowhere to go: near, rather than nowhere.
+    if (out.empty() && (home <= 0 || (home >= 1 && together >= 1))) return {};
     for (auto& [name, part] : out) part *= (1 - home) / away * ratio(in.weights, zone_, name) * together;
     out[zone_] = home * together;
     return out;
--- a/src/cluster/failover.h
+++ b/src/cluster/failover.h
@@ -73,6 +73,7 @@
 Decision in_force(const Entry* entry);
 
 enum class Pin { none, in, out };
+std::string zone_subject(const std::string& zone);  // what a report on its health is about
 std::string decision_key(const std::string& zone);
 std::string pin_key(const std::string& zone);
 
--- a/src/cluster/hearsay.cpp
+++ b/src/cluster/hearsay.cpp
@@ -5,23 +5,25 @@
 namespace silverrail::cluster {
 
 namespace {
-const std::string kPrefix = "box/";
 constexpr Time kSpreadPerMember{20};
 constexpr Time kLongestSpread{5000};
 
 std::string drain_of(const SeenBox& box) { return "drain " + std::to_string(box.started_ms); }
 }  // namespace
 
+std::string box_subject(const std::string& id) { return "box/" + id; }
+
 Hearsay::Hearsay(std::string name, HearsaySettings settings, std::uint64_t seed)
     : name_(std::move(name)),
       settings_(settings),
       voice_({.refresh = Time{settings.age / 3}, .enough = settings.enough}, seed) {}
 
 Hearsay::Step Hearsay::tick(Time now, UnixMs unix_now, const std::vector<SeenBox>& boxes,
-                            const std::map<std::string, Entry>& entries, const std::set<std::string>& alive) {
+                            const std::map<std::string, Entry>& entries,
+                            const std::map<std::string, std::string>& alive) {
     Step step;
     const auto reports = reports_in(
-        entries, kPrefix, unix_now, settings_.age,
+        entries, box_subject(""), unix_now, settings_.age,
         [&](const std::string& reporter) { return reporter != name_ && alive.contains(reporter); });
     const auto sayers = [&reports](const std::string& subject, const std::string& value) {
         const auto at = reports.find(subject);
@@ -34,8 +36,8 @@
     std::map<std::string, std::string> wanted;
     for (const auto& box : boxes) {
         if ((!box.avoided && !box.leaving) || wanted.size() >= settings_.most_subjects) continue;
-        if (report_key(kPrefix + box.id, name_).empty()) continue;
-        wanted.emplace(kPrefix + box.id, box.leaving ? drain_of(box) : "out");
+        if (report_key(box_subject(box.id), name_).empty()) continue;
+        wanted.emplace(box_subject(box.id), box.leaving ? drain_of(box) : "out");
     }
     voice_.spread(std::min(kLongestSpread, kSpreadPerMember * static_cast<Time::rep>(std::min<std::size_t>(
                                                                   alive.size(), 1'000))));
@@ -52,7 +54,7 @@
         ++all;
         // Who keeps away from it by itself, or would say so in a moment, judges by itself.
         if (box.avoided) continue;
-        const auto subject = kPrefix + box.id;
+        const auto subject = box_subject(box.id);
         if (sayers(subject, "out") < settings_.quorum && sayers(subject, drain_of(box)) < settings_.quorum)
             continue;
         ++out;
@@ -68,6 +70,7 @@
         if (!panicked_.contains(box->zone)) step.out.insert(box->id);
     for (const auto& id : step.out) counts_.held_out += out_.contains(id) ? 0 : 1;
     for (const auto& id : out_) counts_.let_in += step.out.contains(id) ? 0 : 1;
+    step.changed = out_ != step.out;
     out_ = step.out;
     return step;
 }
--- a/src/cluster/hearsay.h
+++ b/src/cluster/hearsay.h
@@ -15,6 +15,9 @@
 
 namespace silverrail::cluster {
 
+// What a report on the box is about; of an empty id: what all such subjects begin with.
+std::string box_subject(const std::string& id);
+
 // A box as this router has it.
 struct SeenBox {
     std::string id;
@@ -39,10 +42,11 @@
     struct Step {
         std::vector<Voice::Say> say;  // to be set or cleared in the replica, by report_key(subject, own name)
         std::set<std::string> out;    // ids held out here on the others' word
+        bool changed = false;         // not the same ones as in the step before
     };
-    // `alive`: names of the members alive, this one or not.
+    // `alive`: the members alive, this one or not, by name; their zones are not looked at.
     Step tick(Time now, UnixMs unix_now, const std::vector<SeenBox>& boxes,
-              const std::map<std::string, Entry>& entries, const std::set<std::string>& alive);
+              const std::map<std::string, Entry>& entries, const std::map<std::string, std::string>& alive);
 
     struct Counts {
         std::uint64_t said = 0, taken_back = 0, held_out = 0, let_in = 0, panics = 0;
--- a/src/lab/failover_sim.cpp
+++ b/src/lab/failover_sim.cpp
@@ -135,7 +135,7 @@
         in.health.up = in.health.warm = sees(n);
         const auto step = n.failover->tick(in);
         std::map<std::string, std::string> wanted;
-        if (step.report) wanted.emplace("zone/" + zone(n.zone), *step.report);
+        if (step.report) wanted.emplace(cl::zone_subject(zone(n.zone)), *step.report);
         for (const auto& say : n.voice->tick(now, wanted, [](const std::string&) { return std::size_t{0}; }))
             if (const auto key = cl::report_key(say.subject, std::to_string(i)); say.value)
                 n.reports->set(key, *say.value, unix_now);
--- a/tests/cluster/hearsay_test.cpp
+++ b/tests/cluster/hearsay_test.cpp
@@ -104,19 +104,19 @@
         std::map<std::string, Entry> entries;
         for (const auto& [box, who, what, age] : c.reports)
             entries[report_key(std::string{"box/"} + box, who)] = said(what, kNow - age);
-        const auto step = h.tick(0ms, kNow, c.boxes, entries, {"me", "r1", "r2"});
+        const auto step = h.tick(0ms, kNow, c.boxes, entries, {{"me", ""}, {"r1", ""}, {"r2", ""}});
         if (step.out != c.out) std::fprintf(stderr, "case: %s\n", c.what);
         CHECK(step.out == c.out);
         CHECK(h.counts().held_out == c.out.size() && h.out() == c.out.size());
         // All of it ends with the reports.
-        CHECK(h.tick(1ms, kNow, c.boxes, {}, {"me", "r1", "r2"}).out.empty());
+        CHECK(h.tick(1ms, kNow, c.boxes, {}, {{"me", ""}, {"r1", ""}, {"r2", ""}}).out.empty());
         CHECK(h.counts().let_in == c.out.size());
     }
 }
 
 void check_said() {
     Hearsay h{"me", {}, 4};
-    const std::set<std::string> alone{"me"};
+    const std::map<std::string, std::string> alone{{"me", ""}};
     std::map<std::string, std::optional<std::string>> said_of;
     const auto run = [&](Time from, const std::vector<SeenBox>& boxes) {
         for (Time t = from; t < from + 200ms; t += 20ms)
