Pass a keyed request's key on to the boxes, and send none that has no key

A log line with each request's head (trial) shows what we dropped: a header Replay-Key of 32 hex digits, the same on a client's retry; real.json names it, and Call-Once towards boxes. Ruled out: body, target and id, which pass on unchanged (the writes of the first deployment do). At fault: parse_call in front/platform and box_request in net/upstream, which know the fields of a deployment without keyed classes only. A keyed call without a key is not sent (take_in): a repeat of it would be a new request to a box.

--- a/src/core/take_in.cpp
+++ b/src/core/take_in.cpp
@@ -6,12 +6,14 @@
     for (std::size_t i = 0; i < settings.classes.size(); ++i) {
         const auto& c = settings.classes[i];
         classes_[c.name] = i;
-        forms_.push_back({c.give_up, c.uncached});
+        forms_.push_back({c.give_up, c.uncached, c.effect == winchflow::Effect::keyed});
     }
 }
 
 bool TakeIn::fits(const Call& call, std::size_t class_index, Time now) const {
     const Form& form = forms_[class_index];
+    // Guards rule 2 (no repeated effect): a repeat of one without a key would be a new request to any box.
+    if (form.keyed && call.idempotency_key.empty()) return false;
     // Clients give a try all of the class's time or less; twice that is a figure that went wrong.
     return call.write == form.write && (form.give_up == Span{} || call.deadline <= now + 2 * form.give_up);
 }
--- a/src/core/take_in.h
+++ b/src/core/take_in.h
@@ -14,7 +14,8 @@
     explicit TakeIn(const winchflow::Settings& settings);
     // Its class; absent: there is none of that name.
     std::optional<std::size_t> class_of(const Call& call) const;
-    // Can it be one that clients of this class send? The form of a write, and a wait that the class knows.
+    // Can it be one that clients of this class send? The form of a write, a wait that the class knows, and a
+    // key where repeats are told by it.
     bool fits(const Call& call, std::size_t class_index, Time now) const;
     // A client's id stands for one request at a time; empty ones are not compared.
     bool is_open(const std::string& trace) const { return open_.contains(trace); }
@@ -29,6 +30,7 @@
     struct Form {
         Span give_up;
         bool write;
+        bool keyed;  // may be sent again, as boxes tell a repeat by its key
     };
     std::unordered_map<std::string, std::size_t> classes_;
     std::vector<Form> forms_;
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -41,6 +41,7 @@
     bool write = false;
     std::shared_ptr<const std::string> body;  // of a write
     std::string have;                         // bare tag of the client's copy; empty: none
+    std::string idempotency_key;              // by which boxes know a repeat, a client's own too; empty: none
     bool referred = false;                    // the client goes to the box by itself: only a name is wanted
     Front front = Front::platform;
     ClientAddress client;
--- a/src/front/platform/platform.cpp
+++ b/src/front/platform/platform.cpp
@@ -17,6 +17,7 @@
 constexpr std::int64_t kLongestWaitMs = 600'000;
 constexpr double kLargestKb = 1e7;
 constexpr std::size_t kLongestTag = 128;
+constexpr std::size_t kLongestKey = 128;
 
 std::string_view view(net::beast::string_view text) { return {text.data(), text.size()}; }
 
@@ -58,6 +59,16 @@
     return plain ? std::string{text} : std::string{};
 }
 
+// The key of a request that boxes may be sent again: once, and passed on as it came.
+std::optional<std::string> idempotency_key(const net::HttpRequest& request) {
+    const auto told = request.count("Replay-Key");
+    if (told == 0) return std::string{};
+    const auto key = view(request["Replay-Key"]);
+    const bool plain = std::all_of(key.begin(), key.end(), [](char c) { return c > ' ' && c < '\x7f'; });
+    if (told > 1 || key.empty() || key.size() > kLongestKey || !plain) return std::nullopt;
+    return std::string{key};
+}
+
 class Reply : public core::ReplySink {
 public:
     explicit Reply(std::shared_ptr<net::HttpSession> session) : session_(std::move(session)) {}
@@ -95,6 +106,9 @@
             return "Reserve-Kb: not a size";
         call.size_kb = *size;
     }
+    const auto key = idempotency_key(request);
+    if (!key) return "Replay-Key: not one key";
+    call.idempotency_key = *key;
     call.have = bare_tag(view(request[http::field::if_none_match]));
     call.write = request.method() == http::verb::put;
     if (call.write) call.body = std::make_shared<const std::string>(std::move(request.body()));
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -69,6 +69,8 @@
     r.set(http::field::host, order.address);
     r.set("Call-Id", call.trace);
     r.set("Call-Ms", ms(left));
+    // Guards the repeats of a keyed class: without it a box could not tell one from a new request.
+    if (!call.idempotency_key.empty()) r.set("Call-Once", call.idempotency_key);
     if (order.source) r.set("Miss-To", order.source->address);
     if (order.rank > 0) r.set("Store-As", std::to_string(order.rank));
     if (oldest > core::Span{}) r.set("No-Older-Than", ms(oldest));
--- a/tests/silverrail/parsers_test.cpp
+++ b/tests/silverrail/parsers_test.cpp
@@ -92,6 +92,7 @@
     constexpr auto get = net::http::verb::get;
     constexpr auto put = net::http::verb::put;
     const char* kTrace = "9b1f03aa5c7e2d41";
+    const std::string kLongKey(129, 'k');
     const char* kTarget = "/ops/segment/7f3a9c21e0b4d655/piece-3";
     const Case cases[] = {
         {get, kTarget, kTrace, "1500", "X-Lot", "17", true},
@@ -107,6 +108,10 @@
         {get, kTarget, kTrace, "soon", "X-Lot", "17", false},
         {get, kTarget, kTrace, "1500", "X-Lot", "256", false},
         {get, kTarget, kTrace, "1500", "Reserve-Kb", "nan", false},
+        {put, kTarget, kTrace, "1500", "Replay-Key", "952b4cf81bd4b06dea4312995db7e770", true},
+        {put, kTarget, kTrace, "1500", "Replay-Key", "", false},
+        {put, kTarget, kTrace, "1500", "Replay-Key", "two words", false},
+        {put, kTarget, kTrace, "1500", "Replay-Key", kLongKey.c_str(), false},
     };
     for (const Case& c : cases) {
         net::HttpRequest r{c.verb, c.target, 11};
@@ -115,6 +120,12 @@
         r.set(c.extra, c.value);
         CHECK(std::holds_alternative<core::Call>(front::parse_call(std::move(r), core::Time{})) == c.good);
     }
+    net::HttpRequest two_keys{put, kTarget, 11};
+    two_keys.set("Trace-Id", kTrace);
+    two_keys.set("Max-Wait-Ms", "1500");
+    two_keys.insert("Replay-Key", "one");
+    two_keys.insert("Replay-Key", "other");
+    CHECK(std::holds_alternative<std::string>(front::parse_call(std::move(two_keys), core::Time{})));
     struct Tag {
         const char* header;
         const char* bare;
--- a/tests/silverrail/sockets_test.cpp
+++ b/tests/silverrail/sockets_test.cpp
@@ -129,6 +129,30 @@
     CHECK(up.seen.size() == 8 && up.seen[0].request.body() == "timesheet");
 }
 
+// A repeat of a keyed request is told from a new one by its key: each attempt carries the client's own, and
+// one that has none is not sent.
+void keys_pass_on() {
+    net::asio::io_context io;
+    Box up{io};
+    Router router{io};
+    router.list_with_sources({listed("s-a", up.address())});
+    Client client{io, router.server.local()};
+    up.act = Box::Act::reset_after_reading;
+    client.send(ask("order", kObject));
+    run_until(io, [&] { return up.seen.size() == 2; });
+    up.act = Box::Act::answer;
+    run_until(io, [&] { return client.done; });
+    CHECK(client.status() == 200 && up.seen.size() >= 2);
+    for (const auto& seen : up.seen) CHECK(value(seen.request, "Call-Once") == "key-of-" + kObject);
+    Request keyless = ask("order", kObject);
+    keyless.erase("Replay-Key");
+    const std::size_t before = up.seen.size();
+    client.send(keyless);
+    run_until(io, [&] { return client.done; });
+    CHECK(client.status() == 502 && up.seen.size() == before);
+    CHECK(router.engine.counters().unfit == 1);
+}
+
 // A kept connection that breaks with the request on it is no reason to send that again.
 void no_repeat_on_a_stale_connection() {
     net::asio::io_context io;
@@ -290,6 +314,7 @@
     every_request_is_answered();
     refusals_come_at_once();
     never_twice();
+    keys_pass_on();
     no_repeat_on_a_stale_connection();
     drains_are_kept();
     cold_boxes_are_spared();
--- a/tests/silverrail/stand.h
+++ b/tests/silverrail/stand.h
@@ -186,7 +186,8 @@
 }
 
 inline Request ask(const std::string& class_name, const std::string& object, int wait_ms = 5000) {
-    Request r{class_name == "lodge" ? net::http::verb::put : net::http::verb::get,
+    const bool write = class_name == "lodge" || class_name == "order";
+    Request r{write ? net::http::verb::put : net::http::verb::get,
               "/ops/" + class_name + "/" + object + "/piece-3", 11};
     r.set("Host", "app.svc");
     static std::uint64_t asked = 0;
@@ -195,7 +196,8 @@
     r.set("Trace-Id", id);
     r.set("Max-Wait-Ms", std::to_string(wait_ms));
     r.set("X-Lot", "17");
-    if (class_name == "lodge") r.body() = "timesheet";
+    if (write) r.body() = "timesheet";
+    if (class_name == "order") r.set("Replay-Key", "key-of-" + object);
     return r;
 }
 
@@ -230,6 +232,13 @@
                          .give_up = 5s,
                          .effect = winchflow::Effect::unsafe,
                          .uncached = true});
+    s.classes.push_back({.name = "order",
+                         .aim = 700ms,
+                         .give_up = 5s,
+                         .effect = winchflow::Effect::keyed,
+                         .scope = winchflow::Scope::all,
+                         .window = 900ms,
+                         .uncached = true});
     return s;
 }
 
