Remember a purge for as long as an older answer may still be on its way to the router

Ruled out: the store's purge by object and group, the watch (live, no gap), a box that keeps old copies. At fault: core/purges forgot a purge 7.3 s after its issue, when boxes hold no older copy. An answer asked for before that, or before a purge told late, comes up to a deadline later and was then kept, for good where a class has no age. Now issued() remembers a deadline longer, bound() as before, and hold does not keep what came later than that.

--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -32,7 +32,8 @@
       sender_(sender),
       log_(log),
       fleet_(settings_),
-      purges_(settings_.cleared_within + settings_.heed_within + std::chrono::seconds{1}),
+      purges_(settings_.cleared_within + settings_.heed_within + std::chrono::seconds{1},
+              longest_deadline(settings_)),
       take_in_(settings_),
       admit_(most_open),
       hold_(settings_, purges_, counters_),
@@ -320,7 +321,7 @@
     attempt.order.reset();
     if (attempt.timer) timers_.cancel(std::exchange(attempt.timer, 0));
     const bool good = end.ending == Ending::good;
-    hold_.keep(open, end, clock_.unix_ms());
+    hold_.keep(open, end, clock_.now(), clock_.unix_ms());
     const auto outcome = book_.outcome(key, end, attempt, good || open.answered(), clock_.now());
     if (good) relay_.answer(open, Relay::served(std::move(end)));
     tell(outcome);
--- a/src/core/hold.h
+++ b/src/core/hold.h
@@ -22,7 +22,7 @@
     std::optional<Answer> answer(const Call& call, std::size_t class_index, Time now, std::int64_t unix_ms);
     std::optional<Answer> last_resort(const Call& call, std::size_t class_index, Time now,
                                       std::int64_t unix_ms);
-    void keep(const OpenCall& open, const AttemptEnd& end, std::int64_t unix_ms);
+    void keep(const OpenCall& open, const AttemptEnd& end, Time now, std::int64_t unix_ms);
     void purge(const PurgeNotice& purge);
 
 private:
--- a/src/core/purges.cpp
+++ b/src/core/purges.cpp
@@ -23,7 +23,7 @@
 
 std::optional<Span> Purges::bound(const Call& call, std::int64_t unix_ms) const {
     const auto at = issued(call, unix_ms);
-    if (!at) return std::nullopt;
+    if (!at || *at + cleared_ms_ < unix_ms) return std::nullopt;
     // Never 0, which would mean the class's fresh time.
     return std::chrono::milliseconds{std::max<std::int64_t>(1, unix_ms - *at)};
 }
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -1,6 +1,7 @@
 // What the core deals in: calls, attempts and answers. No wire is known here.
 #pragma once
 
+#include <algorithm>
 #include <array>
 #include <cstdint>
 #include <memory>
@@ -92,4 +93,11 @@
     std::int64_t made_ms = 0;  // good: see Answer
 };
 
+// How long a client of any class waits at most, by the settings.
+inline Span longest_deadline(const winchflow::Settings& settings) {
+    Span longest{};
+    for (const auto& c : settings.classes) longest = std::max(longest, c.give_up);
+    return longest;
+}
+
 }  // namespace silverrail::core
--- a/tests/silverrail/core_test.cpp
+++ b/tests/silverrail/core_test.cpp
@@ -347,6 +347,42 @@
     CHECK(after->count == 0 && b.sender.out.size() == 1);
 }
 
+// An answer that was long on its way is older than a purge that is past already at the boxes: it goes to its
+// client, who asked before the purge was told, and to nobody else.
+void long_answers_and_purges() {
+    struct Case {
+        const char* name;
+        Span wait;    // the client's
+        Span told;    // after the call was taken
+        Span issued;  // before it was told
+        Span answer;  // after the call was taken
+    };
+    // Copies are cleared within 6 s and purges heeded within half a second; calls last 5 s by the settings.
+    const Case cases[] = {
+        {"on its way while the purge was told", 5s, 1s, 1s, 2s},
+        {"past the time in which boxes clear", 5s, 1s, 4s, 4700ms},
+        {"told as late as can be", 5s, 100ms, 7s, 4700ms},
+        {"of a call that outlasts the settings'", 10s, 100ms, 7s, 9900ms},
+    };
+    for (const Case& c : cases) {
+        Bench b;
+        b.engine.keep_copies({.bytes = 1 << 20, .link = {.flow_bytes_per_s = 1e6, .link_bytes_per_s = 1e6}});
+        b.engine.told_of_purges(true);
+        const auto asked = b.ask("pages", c.wait);
+        b.clock.passed += c.told;
+        const auto issued = b.clock.unix_ms() - c.issued / 1ms;
+        b.engine.apply(PurgeNotice{winchflow::ObjectId{0x7f3a9c21e0b4d655}, {}, issued});
+        b.clock.passed += c.answer - c.told;
+        b.sender.end(0, {.ending = Ending::good, .body = "old", .tag = "tag", .made_ms = issued - 1});
+        CHECK(asked->answer.kind == Answer::Kind::served && asked->answer.body == "old");
+        // Neither as a fresh copy nor in place of a refusal.
+        const auto next = b.ask();
+        CHECK(next->count == 0 && b.sender.out.size() == 1);
+        while (!b.sender.out.empty()) b.sender.end(0, {.ending = Ending::no_connection});
+        CHECK(next->answer.kind == Answer::Kind::refused);
+    }
+}
+
 // Out by hand: nothing new from the next byte on, whatever the list says, until it is called back.
 void out_by_hand() {
     Bench b;
@@ -480,6 +516,7 @@
     phases();
     settings_from_both_wires();
     own_copies();
+    long_answers_and_purges();
     out_by_hand();
     steered();
     std::puts("core: every case holds");
