Ask the bulletin again for what was left out or can't be read, and count its life by lines

At fault: Bulletin::read armed the silence limit on any bytes, take() set last_ whatever became of the event, the pause was reset at the head of an answer. Now: a whole line is the sign of life; an event that leaves numbers out or can't be read has the bulletin asked again from the last good one, once, as what is told twice the same way is how it is told; the pause is reset once the feed has been live for 0.3 s. Counters bulletin_connects, _unreadable, _gaps. Looked at and right: half an event before a break (a new connection has a new parser), events written twice, a move while paused, connecting, live and at the pause's very end: one watcher, none left behind (a_move_at_any_moment).

--- a/src/app/program.cpp
+++ b/src/app/program.cpp
@@ -176,10 +176,9 @@
             bulletin_.emplace(
                 io_, endpoint_of(config_.bulletin), config_.known_no,
                 [this](std::int64_t, std::string_view data) {
-                    if (const auto json = config::parse_json(data))
-                        take(*json);
-                    else
-                        log_.line("bad-event", "%.*s", static_cast<int>(data.size()), data.data());
+                    const auto json = config::parse_json(data);
+                    if (!json) log_.line("bad-event", "%.*s", static_cast<int>(data.size()), data.data());
+                    return json && take(*json);
                 },
                 log_, config_.seed);
             bulletin_->when_sure([this](bool surely) { engine_.told_of_purges(surely); });
@@ -206,10 +205,13 @@
         upstream_.limit_sockets(shares_.boxes);
         server_.limit_connections(shares_.clients);
     }
-    void take(const Json::Value& item) {
+    bool take(const Json::Value& item) {
         auto event = config::parse_event(item, clock_.now(), clock_.unix_ms());
-        if (!event) return log_.line("bad-event", "not one that is known");
-        std::visit([this](const auto& what) { engine_.apply(what); }, event->what);
+        if (event)
+            std::visit([this](const auto& what) { engine_.apply(what); }, event->what);
+        else
+            log_.line("bad-event", "not one that is known");
+        return event.has_value();
     }
     void wait_for_signal() {
         signals_.async_wait([this](const net::error_code& error, int signal) {
@@ -291,6 +293,11 @@
     std::string part_counters() {
         std::string out;
         for (const auto& part : parts_) out += part->counters();
+        if (bulletin_) {
+            const auto& c = bulletin_->counters();
+            out += "bulletin_connects " + std::to_string(c.connects) + "\nbulletin_unreadable " +
+                   std::to_string(c.unreadable) + "\nbulletin_gaps " + std::to_string(c.gaps) + "\n";
+        }
         return out;
     }
 
--- a/src/net/bulletin.cpp
+++ b/src/net/bulletin.cpp
@@ -60,6 +60,7 @@
 }
 
 void Bulletin::connect() {
+    ++counters_.connects;
     const auto link = link_ = std::make_shared<Link>(io_);
     link->silence.expires_after(kConnect);
     link->silence.async_wait([this, link](const error_code& error) {
@@ -88,14 +89,13 @@
                 if (e) return again(link, e.message().c_str());
                 if (link->parser.get().result() != http::status::ok) return again(link, "not 200");
                 log_.line("bulletin-up", "resuming after event %lld", static_cast<long long>(last_));
-                pause_.reset();
+                arm(link);
                 read(link);
             });
     });
 }
 
 void Bulletin::read(const std::shared_ptr<Link>& link) {
-    arm(link);
     auto& body = link->parser.get().body();
     body.data = link->bytes.data();
     body.size = link->bytes.size();
@@ -104,16 +104,27 @@
             if (link->over) return;
             if (error == http::error::need_buffer) error = {};
             const auto got = link->bytes.size() - link->parser.get().body().size;
-            const bool read_all =
-                link->events.feed({link->bytes.data(), got}, [this](const auto& event) { take(event); });
+            const auto lines = link->events.lines();
+            const bool read_all = link->events.feed({link->bytes.data(), got}, [&](const auto& event) {
+                if (!link->over) take(link, event);
+            });
+            if (link->over) return;
             if (!read_all) return again(link, "an event over the bound");
             if (error) return again(link, error.message().c_str());
             if (link->parser.is_done()) return again(link, "ended");
-            if (got > 0 && std::chrono::steady_clock::now() >= link->asked + kCaughtUp) sure(true);
+            if (link->events.lines() != lines) alive(link);
             read(link);
         });
 }
 
+void Bulletin::alive(const std::shared_ptr<Link>& link) {
+    arm(link);
+    if (std::chrono::steady_clock::now() < link->asked + kCaughtUp) return;
+    // Not before: one that ends each connection soon would be asked without a pause.
+    pause_.reset();
+    sure(true);
+}
+
 void Bulletin::arm(const std::shared_ptr<Link>& link) {
     link->silence.expires_after(kSilence);
     link->silence.async_wait([this, link](const error_code& error) {
@@ -138,13 +149,26 @@
     if (std::exchange(sure_, now) != now && told_sure_) told_sure_(now);
 }
 
-void Bulletin::take(const SseParser::Event& event) {
+void Bulletin::take(const std::shared_ptr<Link>& link, const SseParser::Event& event) {
     std::int64_t no = 0;
     const auto [end, error] = std::from_chars(event.id.data(), event.id.data() + event.id.size(), no);
     if (error != std::errc{} || end != event.id.data() + event.id.size()) no = 0;
     if (no != 0 && no <= last_) return;  // told before
-    take_(no, event.data);
+    const bool gap = no > last_ + 1;
+    if (gap) ++counters_.gaps;
+    if (gap && ask_again(link, no, "a number left out")) return;
+    const bool readable = take_(no, event.data);
+    if (!readable) ++counters_.unreadable;
+    if (!readable && no != 0 && ask_again(link, no, "an event that can't be read")) return;
     if (no != 0) last_ = no;
 }
 
+// Guards against a drain or purge that was lost on the way: the bulletin is asked again from the last good
+// event. Once, as what it tells the same way twice is how it tells it.
+bool Bulletin::ask_again(const std::shared_ptr<Link>& link, std::int64_t no, const char* why) {
+    if (no == std::exchange(doubted_, no)) return false;
+    again(link, why);
+    return true;
+}
+
 }  // namespace silverrail::net
--- a/src/net/bulletin.h
+++ b/src/net/bulletin.h
@@ -13,8 +13,15 @@
 
 class Bulletin {
 public:
-    using Take = std::function<void(std::int64_t no, std::string_view data)>;
-    // A comment comes each second: past this the connection is taken for dead.
+    // False: the event can't be read.
+    using Take = std::function<bool(std::int64_t no, std::string_view data)>;
+    struct Counters {
+        std::uint64_t connects = 0;
+        std::uint64_t unreadable = 0;  // events that can't be read, each time one came
+        std::uint64_t gaps = 0;        // numbers left out, each time it was seen
+    };
+    // A comment comes each second: without a whole line for so long the connection is taken for dead. Single
+    // bytes are no sign of life, as a feed that never ends a line tells nothing.
     static constexpr std::chrono::milliseconds kSilence{1800};
 
     Bulletin(asio::io_context& io, tcp::endpoint at, std::int64_t last, Take take, Log& log,
@@ -26,15 +33,20 @@
     // From now on at another address; the numbers of the events go on.
     void move_to(const tcp::endpoint& at);
     std::int64_t last() const { return last_; }
+    // Connected, or on its way there; else it pauses.
+    bool connected() const { return link_ != nullptr; }
+    const Counters& counters() const { return counters_; }
 
 private:
     struct Link;
     void connect();
     void request(const std::shared_ptr<Link>& link);
     void read(const std::shared_ptr<Link>& link);
+    void alive(const std::shared_ptr<Link>& link);
     void arm(const std::shared_ptr<Link>& link);
     void again(const std::shared_ptr<Link>& link, const char* why);
-    void take(const SseParser::Event& event);
+    void take(const std::shared_ptr<Link>& link, const SseParser::Event& event);
+    bool ask_again(const std::shared_ptr<Link>& link, std::int64_t no, const char* why);
     void sure(bool now);
 
     asio::io_context& io_;
@@ -47,6 +59,8 @@
     Backoff pause_;
     std::function<void(bool)> told_sure_;
     bool sure_ = false;
+    std::int64_t doubted_ = 0;  // the last event that was asked for again; bad twice, it is passed over
+    Counters counters_;
 };
 
 }  // namespace silverrail::net
--- a/src/net/sse.cpp
+++ b/src/net/sse.cpp
@@ -10,6 +10,7 @@
         }
         after_cr_ = c == '\r';
         if (c == '\r' || c == '\n') {
+            ++lines_;
             line(line_, take);
             line_.clear();
         } else {
