Lose nothing that is owed at a close, a limit, a drain, a window's end or the process's end

At fault: HttpSession's limits, watch, close_if_idle and the end of respond in net/http_server; Fleet::may_be_named and Send::at_first_byte in core (the module now tells the window's end with a send: its lines made room by ranges); Upstream::take_idle and on_answer; Program::finish. Ruled out: the module holding requests (it never does).

--- a/include/winchflow/router.h
+++ b/include/winchflow/router.h
@@ -180,6 +180,8 @@
     CacheId target{};
     Span timeout{};              // 0: until the client gives up
     std::optional<Fill> fill{};  // absent: a plain look
+    // A repeat of a keyed request: not a byte of it may go out at or after that, whatever it waited for.
+    std::optional<Time> repeat_before{};
 };
 struct Cancel {
     RequestId request{};
--- a/src/app/program.cpp
+++ b/src/app/program.cpp
@@ -35,6 +35,18 @@
 // After SIGTERM new connections come for up to 0.4 s, and requests on open ones for 0.2 s more.
 constexpr auto kDrainFor = 700ms;
 
+// SIGKILL comes no sooner than the longest deadline and this much more after SIGTERM, with that deadline
+// taken as 3 s where it is longer.
+constexpr auto kKilledAfter = 700ms;
+constexpr core::Span kLongestCounted = 3s;
+// What is open so long before that is answered then: written answers have to leave, too.
+constexpr auto kBeforeKilled = 200ms;
+
+core::Span kill_after(const winchflow::Settings& settings) {
+    const core::Span longest = core::longest_deadline(settings);
+    return (longest > core::Span{} ? std::min(longest, kLongestCounted) : kLongestCounted) + kKilledAfter;
+}
+
 const char* variable(const char* name) {
     const char* value = std::getenv(name);
     return value ? value : "";
@@ -259,6 +271,7 @@
         log_.line("phase", "%s, %zu open calls, %zu client connections",
                   std::string{Lifecycle::name(phase)}.c_str(), engine_.open(), server_.connections());
         if (phase == Lifecycle::Phase::draining) {
+            last_answers_at_ = clock_.now() + kill_after(config_.settings) - kBeforeKilled;
             // Whoever comes from here on is the other process's: it listens at the same address.
             if (overlap_.processes() > 1) server_.retire();
             poll_.expires_after(kDrainFor);
@@ -273,8 +286,10 @@
             io_.stop();
         }
     }
-    // Ends once every call has its answer and every answer is written.
+    // Ends once every call has its answer and every answer is written. Guards what is open when SIGKILL
+    // comes: boxes may hang for longer than that.
     void finish() {
+        if (clock_.now() >= last_answers_at_) engine_.fail_all();
         if (engine_.open() == 0 && server_.connections() == 0) {
             lifecycle_.enter(Lifecycle::Phase::stopped);
             return;
@@ -320,6 +335,7 @@
     net::asio::signal_set dump_;
     net::asio::signal_set hangup_;
     net::asio::steady_timer poll_;
+    core::Time last_answers_at_ = core::Time::max();
     std::optional<net::Bulletin> bulletin_;
 };
 
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -391,8 +391,7 @@
     // slow - an origin in trouble, a crowded link - none is slow against the others.
     bool outpaced(const Member& m) const {
         if (m.pace <= 1) return false;  // its answers still come within their aim
-        const auto& peers = listed(m.role);
-        return std::any_of(peers.begin(), peers.end(), [&](const Member* p) {
+        return std::ranges::any_of(listed(m.role), [&](const Member* p) {
             return usable(*p) && !p->ejected && p->pace > 0 && m.pace > kSlow * p->pace;
         });
     }
@@ -469,27 +468,30 @@
     bool may_send(const Open& o, const Member& to) const {
         if (static_cast<int>(o.attempts.size()) >= set_.attempt_limit) return false;
         const ClassSettings& c = class_of(o);
-        std::optional<Time> first;
         for (const Attempt& a : o.attempts) {
             if (a.out) return false;  // never two at once: one cancelled must have ended first
             if (!a.may_have_run || c.effect == Effect::pure) continue;
             if (c.effect == Effect::unsafe) return false;
-            if (!first) first = a.sent;
             if (!same_scope(c.scope, a.target, to)) return false;
         }
-        return !first || now_ + kWindowMargin < *first + c.window;
+        const auto until = repeat_before(o);
+        return !until || now_ < *until;
+    }
+    // The end of a keyed request's window, once something of it may have run.
+    std::optional<Time> repeat_before(const Open& o) const {
+        const auto ran = std::ranges::find_if(o.attempts, &Attempt::may_have_run);
+        if (ran == o.attempts.end() || class_of(o).effect != Effect::keyed) return std::nullopt;
+        return ran->sent + class_of(o).window - kWindowMargin;
     }
     bool same_scope(Scope scope, const CacheId& before, const Member& to) const {
         if (scope == Scope::all || before == to.id) return true;
-        auto at = fleet_.find(before);
-        if (at == fleet_.end()) return false;
-        return scope == Scope::zone ? at->second.zone == to.zone : at->second.cell == to.cell;
+        const Member* m = find(before);
+        return m && (scope == Scope::zone ? m->zone == to.zone : m->cell == to.cell);
     }
     bool may_refuse(const Open& o) const {
         const ClassSettings& c = class_of(o);
         if (c.effect == Effect::pure || (c.effect == Effect::keyed && c.scope == Scope::all)) return true;
-        return std::none_of(o.attempts.begin(), o.attempts.end(),
-                            [](const Attempt& a) { return a.out || a.may_have_run; });
+        return std::ranges::none_of(o.attempts, [](const Attempt& a) { return a.out || a.may_have_run; });
     }
 
     // Purges: the oldest copy that will do, until all older ones are gone by themselves.
@@ -579,7 +581,6 @@
         const double share = multiple * link_fits() / std::max(1, set_.gateways_in_zone);
         return std::max(kFillLeast, (share + kChance * std::sqrt(share)) * fill_trust_);
     }
-    double origin_room() const { return std::max(kOriginLeast, origin_share()); }
     double origin_share() const {
         const double zones = static_cast<double>(set_.gateways) / std::max(1, set_.gateways_in_zone);
         return std::max(kOriginShare, kOriginZones * zones) * link_fits() * origin_trust_ /
@@ -636,7 +637,8 @@
                 }
                 home = home && usable(*m) && !m->ejected;
             }
-        if (!origin || class_of(o).uncached || (now_ >= origin_next_ && origin_fetches() < origin_room()))
+        if (!origin || class_of(o).uncached ||
+            (now_ >= origin_next_ && origin_fetches() < std::max(kOriginLeast, origin_share())))
             return origin;
         return crowded;
     }
@@ -779,7 +781,7 @@
         if (!set_.may_cancel && static_cast<int>(o.attempts.size()) + 1 < set_.attempt_limit &&
             class_of(o).effect == Effect::pure)
             timeout = aim_of(o);
-        out_.push_back(Send{o.request.id, target.id, timeout, std::move(fill)});
+        out_.push_back(Send{o.request.id, target.id, timeout, std::move(fill), repeat_before(o)});
         o.attempts.push_back(std::move(a));
         if (set_.may_cancel) look_later(o, kHungLook);
     }
@@ -860,9 +862,7 @@
     }
     void drop_if_done(std::map<RequestId, Open>::iterator at) {
         const Open& o = at->second;
-        if (!o.answered) return;
-        if (std::any_of(o.attempts.begin(), o.attempts.end(), [](const Attempt& a) { return a.out; })) return;
-        open_.erase(at);
+        if (o.answered && std::ranges::none_of(o.attempts, &Attempt::out)) open_.erase(at);
     }
     // What an ending says of the cache, of the source behind it, and of the origin.
     void judge(Open& o, Attempt& a, const Outcome& e) {
--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -261,7 +261,7 @@
 
 // The client goes to the box by itself: nobody here will see how that ends, and the module is told so.
 void Engine::refer(OpenCall& open, const Order& order) {
-    const auto address = send_.referral(order, settings_.parent_kind, clock_.now(), clock_.unix_ms());
+    const auto address = send_.referral(order, settings_.parent_kind, clock_.unix_ms());
     const AttemptKey key = order.key;
     if (!address) ++counters_.not_carried;
     relay_.answer(open, address ? Relay::referred(*address) : Relay::refused(kNotCarriedHoldOff, false));
@@ -344,7 +344,22 @@
     if (at->second.answered()) return;
     ++counters_.past_deadline;
     log_.line("past-deadline", "a %s call was still open", at->second.call->class_name.c_str());
-    relay_.answer(at->second, Relay::failed(true));
+    fail_now(id, true);
+}
+
+void Engine::fail_all() {
+    std::vector<RequestId> open;
+    for (const auto& [id, call] : open_)
+        if (!call.answered()) open.push_back(id);
+    if (!open.empty()) log_.line("cut-short", "%zu open calls failed: the process ends", open.size());
+    for (const RequestId id : open) fail_now(id, false);
+}
+
+// Without asking the module, which is told that it has nothing more to do for it.
+void Engine::fail_now(RequestId id, bool timed_out) {
+    const auto at = open_.find(id);
+    if (at == open_.end() || at->second.answered()) return;
+    relay_.answer(at->second, Relay::failed(timed_out));
     tell(winchflow::Abandoned{id});
     withdraw(id);
     drop_if_done(id);
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -39,6 +39,8 @@
     // been answered already.
     std::optional<RequestId> take(Call call, std::shared_ptr<ReplySink> sink);
     void abandon(RequestId id);  // the client has gone; nothing is owed any more
+    // The process ends before they could: every call that is open is failed now.
+    void fail_all();
 
     void apply(const BoxChange& change);
     void apply(const PurgeNotice& purge);
@@ -86,6 +88,7 @@
     void refer(OpenCall& open, const Order& order);
     void timed_out(const AttemptKey& key);
     void deadline(RequestId id);
+    void fail_now(RequestId id, bool timed_out);
     void finish(RequestId id, Answer answer);
     void withdraw(RequestId id);  // cancels what is out
     void drop_if_done(RequestId id);
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -65,9 +65,9 @@
     return at == boxes_.end() ? nullptr : &at->second;
 }
 
-bool Fleet::may_be_named(const CacheId& id, Time now) const {
+bool Fleet::may_be_named(const CacheId& id) const {
     const Box* box = find(id);
-    return box && !kept_out(*box) && (!box->barred || now < *box->barred + kBarredFor);
+    return box && !kept_out(*box) && !box->barred;
 }
 
 }  // namespace silverrail::core
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -54,8 +54,10 @@
     // As the module is to see it: one that is out gets nothing new. The weight is the one that counts.
     winchflow::ListedCache entry(const Box& box) const;
     const Box* find(const CacheId& id) const;
-    // A new send that names the box, as target or as source, is still in time at `now`.
-    bool may_be_named(const CacheId& id, Time now) const;
+    // May a new send name the box, as target or as source? What was decided before the list said that it
+    // drains is new too, until its first byte: it never ran, so it costs nothing to send it elsewhere. The
+    // grace is the settings' and may be short, and part of it may have passed before the list was heard.
+    bool may_be_named(const CacheId& id) const;
     template <class Test>
     bool any(Test test) const {
         for (const auto& [id, box] : boxes_)
@@ -73,9 +75,6 @@
     std::size_t size() const { return boxes_.size(); }
 
 private:
-    // Rule: nothing new to a box later than 2 s after it was said to drain. What was decided just before may
-    // still go out, but only well inside that.
-    static constexpr Span kBarredFor = std::chrono::milliseconds{1500};
     static constexpr std::size_t kGoneKept = 256;
     std::map<CacheId, Box> boxes_;
     members::Bans bans_;
--- a/src/core/send.h
+++ b/src/core/send.h
@@ -17,7 +17,7 @@
     std::optional<Span> at_first_byte(const Order& order, Time now, std::int64_t unix_ms,
                                       bool& tightened) const;
     // A name is all that a referral carries: an order that needs more is not one. Absent: that is so.
-    std::optional<std::string> referral(const Order& order, const std::string& parent_kind, Time now,
+    std::optional<std::string> referral(const Order& order, const std::string& parent_kind,
                                         std::int64_t unix_ms) const;
 
 private:
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -79,6 +79,7 @@
     bool renew = false;
     bool held_only = false;
     Time give_up{};
+    std::optional<Time> repeat_before{};  // not sent at or after that; absent: nothing of it may have run
 };
 
 // How an attempt ended, as seen on the wire.
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -15,21 +15,35 @@
 
 void HttpSession::start() {
     // Guards against silence: one limit from connecting to the end of the first request.
-    end_after(server_.limits_.first_request);
+    end_after(server_.limits_.first_request, &HttpSession::too_slow);
     read();
 }
 
-void HttpSession::end_after(Limit limit) {
+void HttpSession::end_after(Limit limit, void (HttpSession::*end)()) {
     limit_.expires_after(limit);
     // A handler that was due already when the limit was set anew must not end what has begun since.
-    limit_.async_wait([weak = weak_from_this(), this, set = ++limits_set_](const error_code& error) {
+    limit_.async_wait([weak = weak_from_this(), end, set = ++limits_set_](const error_code& error) {
         const auto self = weak.lock();
-        if (!error && self && set == limits_set_) close();
+        if (!error && self && set == self->limits_set_) (self.get()->*end)();
     });
 }
 
+// The time for a request is over. Guards one whose last bytes are in the socket: the limit's handler may come
+// before the read's. Half a request is answered, so that its client can tell; silence is not.
+void HttpSession::too_slow() {
+    if (state_ != State::reading) return;
+    if (!std::exchange(looked_again_, true) && peek(socket_) > 0)
+        return end_after(server_.limits_.unread, &HttpSession::too_slow);
+    if (nothing_came()) return linger();
+    server_.log_.line("slow-request", "half a request, not the rest of it in time");
+    keep_alive_ = false;
+    state_ = State::open;
+    respond({http::status::request_timeout, 11});
+}
+
 void HttpSession::read() {
     state_ = State::reading;
+    looked_again_ = false;
     seen_ = 0;
     parser_.emplace();
     parser_->header_limit(server_.limits_.header);
@@ -45,7 +59,7 @@
 }
 
 void HttpSession::on_first_byte() {
-    if (!first_) end_after(server_.limits_.half_read);
+    if (!first_) end_after(server_.limits_.half_read, &HttpSession::too_slow);
     // The head by itself: read together with its body, Beast 1.74 loses the error of a length over the limit.
     http::async_read_header(
         socket_, buffer_, *parser_,
@@ -92,18 +106,20 @@
 }
 
 // Guards a last answer: closing with bytes unread would reset the connection and may take the answer along.
+// What comes after the half-close is read and thrown away: its client sees the end and asks again elsewhere.
 void HttpSession::linger() {
+    if (state_ == State::lingering || state_ == State::closed) return;
     state_ = State::lingering;
     since_ = std::chrono::steady_clock::now();
     error_code ignored;
     socket_.shutdown(tcp::socket::shutdown_send, ignored);
-    end_after(server_.limits_.linger);
+    end_after(server_.limits_.linger, &HttpSession::close);
     discard();
 }
 
+// Not into the buffer of this connection: a read that was under way may still use that.
 void HttpSession::discard() {
-    buffer_.clear();
-    socket_.async_read_some(buffer_.prepare(16 * 1024),
+    socket_.async_read_some(asio::buffer(server_.discarded_),
                             [self = shared_from_this()](const error_code& error, std::size_t got) {
                                 if (self->state_ != State::lingering) return;
                                 self->discarded_ += got;
@@ -113,19 +129,30 @@
                             });
 }
 
-// While an answer is owed: has the client gone?
+// While an answer is owed: has the client gone? What it sends before that is read on, up to a bound, as its
+// end would not be seen behind it.
 void HttpSession::watch() {
-    if (buffer_.size() > 0) return;  // it has sent more already; its end would not be seen behind that
+    if (buffer_.size() >= server_.limits_.early) return flooded();
     socket_.async_wait(tcp::socket::wait_read,
                        [self = shared_from_this()](const error_code& error) { self->on_watch(error); });
 }
 
 void HttpSession::on_watch(const error_code& error) {
     if (state_ != State::open || error == asio::error::operation_aborted) return;
-    const auto got = peek(socket_);
-    if (got > 0) return;  // the next request, early: it waits in the socket
-    if (got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) return watch();
-    lost();
+    const auto got = take_now(socket_, buffer_.prepare(server_.limits_.early - buffer_.size()));
+    if (got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK)) return lost();
+    if (got > 0) buffer_.commit(static_cast<std::size_t>(got));
+    watch();
+}
+
+// One request at a time: a client that sends so much before it has its answer is none of ours.
+void HttpSession::flooded() {
+    server_.log_.line("early-flood", "over %zu bytes behind an open request", server_.limits_.early);
+    const auto self = shared_from_this();
+    if (const auto gone = std::exchange(gone_, nullptr)) gone();
+    if (state_ != State::open) return;
+    keep_alive_ = false;
+    respond({http::status::bad_request, 11});
 }
 
 void HttpSession::lost() {
@@ -143,19 +170,37 @@
     keep_alive_ = response.keep_alive();
     response.prepare_payload();
     response_.emplace(std::move(response));
+    serializer_.emplace(*response_);
     socket_.cancel();  // the watch
-    end_after(server_.limits_.write);
-    http::async_write(socket_, *response_, [self = shared_from_this()](const error_code& error, std::size_t) {
-        self->response_.reset();
-        if (self->state_ != State::writing) return;
-        // An answer that breaks off is cut short for the client to see: its length was told.
-        if (error) return self->close();
-        if (!self->keep_alive_ || self->server_.stopping_) return self->linger();
-        ++self->limits_set_;
-        self->limit_.cancel();
-        self->since_ = std::chrono::steady_clock::now();
-        self->read();
-    });
+    writing_since_ = std::chrono::steady_clock::now();
+    write_some();
+}
+
+// A reader that is slow but moves is waited for, one that has stopped is not.
+void HttpSession::write_some() {
+    end_after(server_.limits_.write, &HttpSession::close);
+    http::async_write_some(socket_, *serializer_,
+                           [self = shared_from_this()](const error_code& error, std::size_t) {
+                               if (self->state_ != State::writing) return;
+                               if (!error && self->serializer_->is_done()) return self->written();
+                               const auto passed = std::chrono::steady_clock::now() - self->writing_since_;
+                               // An answer that breaks off is cut short for the client to see: its length was
+                               // told.
+                               if (error || passed > self->server_.limits_.whole_write) return self->close();
+                               self->write_some();
+                           });
+}
+
+void HttpSession::written() {
+    serializer_.reset();
+    response_.reset();
+    if (!keep_alive_) return linger();
+    ++limits_set_;
+    limit_.cancel();
+    since_ = std::chrono::steady_clock::now();
+    read();
+    // The answer had promised more: what has come on that word is still served.
+    if (server_.stopping_) close_if_idle();
 }
 
 void HttpSession::close() {
@@ -174,7 +219,7 @@
 }
 
 void HttpSession::close_if_idle() {
-    if (state_ == State::reading && nothing_came()) close();
+    if (state_ == State::reading && nothing_came()) linger();
 }
 
 // Bytes of the request that is being read, also those that nobody has read yet count.
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -1,6 +1,7 @@
 // The HTTP/1.1 side towards clients: one request at a time on a connection, bounded in every way.
 #pragma once
 
+#include <array>
 #include <functional>
 #include <map>
 #include <memory>
@@ -24,8 +25,12 @@
     // A client that can't get a request out is owed its end within 3 s of connecting.
     std::chrono::milliseconds first_request{2'500};  // from connecting to the first request's last byte
     std::chrono::milliseconds half_read{2'500};      // from a later request's first byte to its last
-    std::chrono::milliseconds write{6'000};          // for an answer to be taken
-    std::chrono::milliseconds linger{500};           // for reading on after a last answer
+    // What has come by the end of such a limit, but was not read yet, is still read.
+    std::chrono::milliseconds unread{50};
+    std::size_t early = 8 * 1024;                   // of what a client may send before it has its answer
+    std::chrono::milliseconds write{6'000};         // for some more of an answer to be taken
+    std::chrono::milliseconds whole_write{60'000};  // for all of it
+    std::chrono::milliseconds linger{500};          // for reading on after a last answer
     std::size_t linger_bytes = 1 << 20;
     Listener::Port port = Listener::Port::alone;
 };
@@ -60,7 +65,11 @@
     void unreadable(const error_code& error);
     void linger();
     void discard();
-    void end_after(Limit limit);  // closes unless the state moves on before that
+    void end_after(Limit limit, void (HttpSession::*end)());  // unless the state moves on before that
+    void too_slow();
+    void flooded();
+    void write_some();
+    void written();
     bool nothing_came();
     std::size_t came();
     void watch();
@@ -73,6 +82,7 @@
     beast::flat_buffer buffer_;
     std::optional<http::request_parser<http::string_body>> parser_;
     std::optional<HttpResponse> response_;
+    std::optional<http::response_serializer<http::string_body>> serializer_;
     std::function<void()> gone_;
     asio::steady_timer limit_;
     State state_ = State::reading;
@@ -80,6 +90,8 @@
     std::size_t seen_ = 0;                         // what had come of its request when it was looked at last
     std::uint64_t limits_set_ = 0;
     std::size_t discarded_ = 0;
+    std::chrono::steady_clock::time_point writing_since_;
+    bool looked_again_ = false;  // after a limit on reading, for what had come by then
     bool keep_alive_ = false;
     bool first_ = true;  // no request has been read whole yet
 };
@@ -118,6 +130,7 @@
     Handler handler_;
     Log& log_;
     std::map<HttpSession*, std::weak_ptr<HttpSession>> sessions_;
+    std::array<char, 16 * 1024> discarded_{};  // what is read after a last answer; nobody looks at it
     bool retiring_ = false;
     bool stopping_ = false;
 };
--- a/src/net/peek.h
+++ b/src/net/peek.h
@@ -13,4 +13,9 @@
     return ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
 }
 
+// The same, and what was read is taken out of the socket.
+inline ssize_t take_now(tcp::socket& socket, const asio::mutable_buffer& into) {
+    return ::recv(socket.native_handle(), into.data(), into.size(), MSG_DONTWAIT);
+}
+
 }  // namespace silverrail::net
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -149,6 +149,7 @@
     std::optional<http::response_parser<http::string_body>> parser;
     int interim = 0;
     bool bytes_out = false;
+    bool all_out = false;  // the request's last byte
     bool over = false;
 };
 
@@ -241,6 +242,7 @@
     http::async_write(attempt->link->socket, attempt->request,
                       [attempt, link = attempt->link](const error_code& error, std::size_t) {
                           if (!error) attempt->events->written();
+                          attempt->all_out = !error;
                           if (attempt->over || !error) return;
                           // An answer may have come before the whole request was read; the read tells.
                           if (error == asio::error::operation_aborted) return;
@@ -283,7 +285,8 @@
 void Upstream::on_answer(const std::shared_ptr<Attempt>& attempt, const error_code& error) {
     if (attempt->over) return;
     if (error) return unreadable(attempt, error);
-    const bool keeps = attempt->parser->keep_alive();
+    // An answer may come before the request is out: what follows on that connection would be read as the rest of it.
+    const bool keeps = attempt->parser->keep_alive() && attempt->all_out;
     auto answer = attempt->parser->release();
     if (keeps) keep(attempt);
     end(attempt, box_answer(std::move(answer)));
@@ -351,9 +354,14 @@
     auto at = boxes_.find(id);
     if (at == boxes_.end()) return nullptr;
     auto& idle = at->second->idle;
-    while (!idle.empty()) {
-        const auto link = idle.back();
-        idle.pop_back();
+    // The last used of those that have rested: the longer one is idle, the likelier its box closes it.
+    const core::Time rested = clock_.now() - limits_.rest;
+    while (true) {
+        const auto from = std::find_if(idle.rbegin(), idle.rend(),
+                                       [&](const auto& l) { return l->idle_since <= rested; });
+        if (from == idle.rend()) return nullptr;
+        const auto link = *from;
+        idle.erase(std::next(from).base());
         link->idle = false;
         error_code ignored;
         link->socket.cancel(ignored);  // the watch
@@ -363,7 +371,6 @@
         }
         link->close();
     }
-    return nullptr;
 }
 
 // Guards against what piles up as boxes come and go: nothing of a box that went is kept but what is in use.
--- a/src/net/upstream.h
+++ b/src/net/upstream.h
@@ -16,6 +16,9 @@
     std::size_t sockets = 600;   // open at once, to all boxes
     std::size_t waiting = 512;   // attempts that wait for one
     std::size_t idle_each = 64;  // kept open to one box
+    // A second answer may follow a good one by some ms, and answers carry no id: a connection is used again
+    // only when nothing has come on it for so long.
+    std::chrono::nanoseconds rest{std::chrono::milliseconds{20}};
     std::uint64_t answer = 256 * 1024;
     std::uint32_t header = 8 * 1024;
     int interim = 8;  // 1xx answers before the one that counts
--- a/tests/silverrail/bulletin_test.cpp
+++ b/tests/silverrail/bulletin_test.cpp
@@ -191,14 +191,17 @@
                 first.socket.close();
                 run_until(io, [&] { return !watch.bulletin.connected(); });
             }
-            if (when == When::at_the_pauses_end) {
-                // The pause is over and its handler waits for its turn: both it and the move would connect.
-                const auto over =
-                    std::chrono::steady_clock::now() + 60ms;  // the first pause is 50 ms at most
-                while (std::chrono::steady_clock::now() <= over) {}
-            }
         }
-        watch.bulletin.move_to(to.at());
+        asio::steady_timer first_of_two{io};
+        if (when == When::at_the_pauses_end) {
+            // The pause is over and its handler stands behind the move's: both would connect.
+            first_of_two.expires_at(std::chrono::steady_clock::now() - 1s);
+            first_of_two.async_wait([&](const net::error_code&) { watch.bulletin.move_to(to.at()); });
+            const auto over = std::chrono::steady_clock::now() + 60ms;  // the first pause is 50 ms at most
+            while (std::chrono::steady_clock::now() <= over) {}
+        } else {
+            watch.bulletin.move_to(to.at());
+        }
         auto& moved = asked(io, to, 1);
         CHECK(moved.after == (when == When::connecting ? "1" : "2"));
         moved.say(kHead + event(when == When::connecting ? 2 : 3, "b"));
--- a/tests/silverrail/core_test.cpp
+++ b/tests/silverrail/core_test.cpp
@@ -98,7 +98,8 @@
         call.object_id = winchflow::ObjectId{0x7f3a9c21e0b4d655};
         call.group = winchflow::GroupId{17};
         call.deadline = clock.now() + wait;
-        call.write = call.class_name == "lodge";
+        call.write = call.class_name != "pages";
+        if (call.class_name == "order") call.idempotency_key = "952b4cf81bd4b06d";
         call.referred = referred;
         auto reply = std::make_shared<Reply>();
         id = engine.take(std::move(call), reply);
@@ -180,18 +181,30 @@
         CHECK(b.sender.events->before_first_byte(key) == Span{});
         b.change({stand::listed(b.sender.out[0].target.address, b.sender.out[0].address, "small-box",
                                 winchflow::Condition::draining)});
-        CHECK(b.sender.events->before_first_byte(key));  // within the grace
+        // The grace may be short, or half over when the list is heard: not a byte from here on.
+        CHECK(!b.sender.events->before_first_byte(key));
         b.timers.pass(1600ms);
-        CHECK(!b.sender.events->before_first_byte(key));  // near its end
+        CHECK(!b.sender.events->before_first_byte(key));
     }
     {
         Bench b;
         (void)b.ask();
         const auto key = b.sender.out.at(0).key;
         b.change({stand::listed("s-parent", "127.0.0.1:3", "parent", winchflow::Condition::gone)});
-        b.timers.pass(1600ms);
         CHECK(!b.sender.events->before_first_byte(key));  // a source is named too
     }
+    // A keyed request's repeats end with the window that its first attempt began, whatever they wait for.
+    for (const Span waited : {800ms, 900ms}) {
+        Bench b;
+        const auto reply = b.ask("order");
+        b.timers.pass(50ms);
+        b.sender.end(0, {.ending = Ending::reset});  // it may have run
+        const auto key = b.sender.out.at(0).key;
+        b.timers.pass(waited - 50ms);
+        CHECK(b.sender.events->before_first_byte(key).has_value() == (waited == 800ms));
+        b.sender.end(0, {.ending = Ending::not_sent});
+        if (waited == 900ms) CHECK(b.sender.out.empty() && reply->answer.kind == Answer::Kind::refused);
+    }
     {
         Bench b;
         (void)b.ask();
--- a/tests/silverrail/program_test.cpp
+++ b/tests/silverrail/program_test.cpp
@@ -16,9 +16,31 @@
     return client.status();
 }
 
+// Boxes that hang for longer than SIGKILL waits after SIGTERM (3.7 s with these settings): whoever still
+// waits is answered before that, and the process has ended by itself.
+void hung_boxes_at_the_end() {
+    asio::io_context io;
+    Bulletin bulletin{io};
+    Box box{io};
+    box.act = Box::Act::stay_silent;
+    Program program{bulletin.address(), box.address()};
+    run_until(io, [&] { return program.listens(); });
+    Client waits{io, program.at};
+    waits.send(ask("lodge", kObject, 9000));
+    run_until(io, [&] { return box.seen.size() == 1; });
+    program.end();
+    const auto killed = std::chrono::steady_clock::now() + 3700ms;
+    run_until(io, [&] { return waits.done; });
+    CHECK(!waits.broken && waits.status() == 502 && std::chrono::steady_clock::now() < killed);
+    waits.leave();
+    run_until(io, [&] { return program.ended(); });
+    CHECK(std::chrono::steady_clock::now() < killed && box.seen.size() == 1);
+}
+
 }  // namespace
 
 int main() {
+    hung_boxes_at_the_end();
     asio::io_context io;
     Bulletin bulletin{io};
     Box box{io};
--- a/tests/silverrail/rough_test.cpp
+++ b/tests/silverrail/rough_test.cpp
@@ -9,36 +9,6 @@
 
 const std::string kObject = "7f3a9c21e0b4d655";
 
-// Writes bytes as they are and collects what comes back until the end of the connection.
-class RawClient {
-public:
-    RawClient(asio::io_context& io, const tcp::endpoint& to, std::string bytes = {})
-        : socket_(io), bytes_(std::move(bytes)) {
-        socket_.open(to.protocol());
-        socket_.set_option(asio::socket_base::send_buffer_size(16 * 1024));  // more waits for the other side
-        socket_.connect(to);
-        asio::async_write(socket_, asio::buffer(bytes_),
-                          [this](const net::error_code& error, std::size_t) { cut_short = bool(error); });
-        read();
-    }
-    void say(const std::string& bytes) { asio::write(socket_, asio::buffer(bytes)); }
-    bool ended = false;
-    bool cut_short = false;  // what it writes was not taken
-    std::string heard;
-
-private:
-    void read() {
-        socket_.async_read_some(asio::buffer(part_), [this](const net::error_code& error, std::size_t got) {
-            heard.append(part_, got);
-            if (!error) return read();
-            ended = true;
-        });
-    }
-    tcp::socket socket_;
-    std::string bytes_;
-    char part_[4096];
-};
-
 const std::string kFields = "Host: a\r\nTrace-Id: 9b1f03aa5c7e2d41\r\nMax-Wait-Ms: 1500\r\nX-Lot: 17\r\n";
 
 // Each gets its error whole, though bytes are left unread, and then the end of the connection.
--- a/tests/silverrail/sockets_test.cpp
+++ b/tests/silverrail/sockets_test.cpp
@@ -45,6 +45,7 @@
     // Kept alive on both sides, and a 304 passes without bytes.
     box.response = Box::hit("");
     box.response.result(net::http::status::not_modified);
+    rest(io, router);
     client.send(request);
     run_until(io, [&] { return client.done; });
     CHECK(client.status() == 304 && client.response.body().empty());
@@ -163,6 +164,7 @@
     client.send(ask("lodge", kObject));
     run_until(io, [&] { return client.done; });
     box.act = Box::Act::reset_after_reading;
+    rest(io, router);
     client.send(ask("lodge", kObject));
     run_until(io, [&] { return client.done; });
     CHECK(box.seen.size() == 2 && box.seen[1].connection == 1 && box.connections == 1);
--- a/tests/silverrail/stand.h
+++ b/tests/silverrail/stand.h
@@ -50,6 +50,14 @@
     }
     std::string address() const { return text_of(acceptor_.local_endpoint()); }
     void stop_listening() { acceptor_.close(); }
+    // Whatever is open now, as a process that dies does.
+    void reset_all() {
+        for (const auto& weak : links_)
+            if (const auto link = weak.lock(); link && link->socket.is_open()) {
+                link->socket.set_option(net::asio::socket_base::linger(true, 0));
+                link->socket.close();
+            }
+    }
 
     Act act = Act::answer;
     Response response = hit("bytes of the object");
@@ -81,6 +89,7 @@
             if (error) return;
             auto link = std::make_shared<Link>(std::move(socket));
             link->number = ++connections;
+            links_.push_back(link);
             read(link);
             accept();
         });
@@ -120,6 +129,7 @@
     }
     net::asio::io_context& io_;
     tcp::acceptor acceptor_;
+    std::vector<std::weak_ptr<Link>> links_;
 };
 
 // One client connection with one request at a time.
@@ -155,6 +165,52 @@
     Request request_;
 };
 
+// Writes bytes as they are and collects what comes back until the end of the connection.
+class RawClient {
+public:
+    RawClient(net::asio::io_context& io, const tcp::endpoint& to, std::string bytes = {})
+        : socket_(io), bytes_(std::move(bytes)) {
+        socket_.open(to.protocol());
+        socket_.set_option(
+            net::asio::socket_base::send_buffer_size(16 * 1024));  // more waits for the other side
+        socket_.connect(to);
+        net::asio::async_write(
+            socket_, net::asio::buffer(bytes_),
+            [this](const net::error_code& error, std::size_t) { cut_short = bool(error); });
+        read();
+    }
+    void say(const std::string& bytes) { net::asio::write(socket_, net::asio::buffer(bytes)); }
+    // False: the other side has reset the connection.
+    bool takes_more() {
+        net::error_code error;
+        net::asio::write(socket_, net::asio::buffer("x", 1), error);
+        return !error;
+    }
+    void half_close() { socket_.shutdown(tcp::socket::shutdown_send); }
+    void reset() {
+        socket_.set_option(net::asio::socket_base::linger(true, 0));
+        socket_.close();
+    }
+    bool ended = false;
+    bool clean = false;      // it ended, and was not reset
+    bool cut_short = false;  // what it writes was not taken
+    std::string heard;
+
+private:
+    void read() {
+        socket_.async_read_some(net::asio::buffer(part_),
+                                [this](const net::error_code& error, std::size_t got) {
+                                    heard.append(part_, got);
+                                    if (!error) return read();
+                                    clean = error == net::asio::error::eof;
+                                    ended = true;
+                                });
+    }
+    tcp::socket socket_;
+    std::string bytes_;
+    char part_[4096];
+};
+
 // One line at a second address, and all that comes back until the other side closes.
 class Caller {
 public:
@@ -168,6 +224,12 @@
                               });
     }
     void say(const std::string& more) { net::asio::write(socket_, net::asio::buffer(more)); }
+    // False: the other side has reset the connection.
+    bool takes_more() {
+        net::error_code error;
+        net::asio::write(socket_, net::asio::buffer("x", 1), error);
+        return !error;
+    }
     void half_close() { socket_.shutdown(tcp::socket::shutdown_send); }
 
     std::string answer;
@@ -257,9 +319,10 @@
 // The router's parts as main.cpp wires them, in this process.
 class Router {
 public:
-    explicit Router(net::asio::io_context& io, net::HttpLimits limits = {}, std::size_t most_open = 1000)
+    explicit Router(net::asio::io_context& io, net::HttpLimits limits = {}, std::size_t most_open = 1000,
+                    net::UpstreamLimits to_boxes = {})
         : timers(io),
-          upstream(io, net::UpstreamLimits{}, clock, log),
+          upstream(io, to_boxes, clock, log),
           engine(settings(), 7, most_open, clock, timers, upstream, log),
           platform(engine, clock, lifecycle, log),
           server(
@@ -287,4 +350,10 @@
     net::HttpServer server;
 };
 
+// Until a connection to a box that has just answered is used again.
+inline void rest(net::asio::io_context& io, const Router& router) {
+    const auto rested = router.clock.now() + net::UpstreamLimits{}.rest;
+    run_until(io, [&] { return router.clock.now() > rested; });
+}
+
 }  // namespace silverrail::stand
