Give the largest requests their time where sizes are not told and nothing can be cancelled

At fault: Brain::send, which times an attempt out at the aim, reckoned with the class's mean size where the request's own is not told: a larger one is cut off each time, its bytes wasted, until the retry budget turns it away. Where sizes are told nothing changes.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -780,7 +780,7 @@
         // Where nothing can be cancelled, a time-out at the aim is what lets a further attempt start.
         if (!set_.may_cancel && static_cast<int>(o.attempts.size()) + 1 < set_.attempt_limit &&
             class_of(o).effect == Effect::pure)
-            timeout = aim_of(o);
+            timeout = span_of(seconds(aim_of(o)) * (o.request.size_kb > 0 ? 1 : kFirstLook));
         out_.push_back(Send{o.request.id, target.id, timeout, std::move(fill), repeat_before(o)});
         o.attempts.push_back(std::move(a));
         if (set_.may_cancel) look_later(o, kHungLook);
