Be sure of the feed from its answer's head on, which a slow answer used up before

Seen: program_test failed in 31 of 48 plays, twelve at a time (once in `ctest -j4`), waiting for a request at a box which the router had answered from a copy of its own. Its log: the watch was just up again, and yet counted as sure. Checked: the feed's first line is read over 0.3 s after the asking there. Ruled out: a line from the feed after that. At fault: Bulletin counted kCaughtUp from the asking, so that a slow answer (or a slow process) made the first line, in front of whatever was missed, tell that all was heard; a purge among that would not have bound the own copies yet. It is counted from the answer's head now.

--- a/src/net/bulletin.cpp
+++ b/src/net/bulletin.cpp
@@ -10,8 +10,9 @@
 constexpr std::chrono::milliseconds kFirstPause{50};
 constexpr std::chrono::milliseconds kLongestPause{500};
 constexpr std::chrono::milliseconds kConnect{1000};
-// What was missed comes at once after asking. What comes later than this tells that the feed is live, while
-// a purge that was missed may still be heeded.
+// What was missed comes right behind the answer's head. What comes later than this tells that the feed is
+// live, while a purge that was missed may still be heeded. Not counted from the asking: a slow answer would
+// use it up.
 constexpr std::chrono::milliseconds kCaughtUp{300};
 }  // namespace
 
@@ -30,7 +31,7 @@
     http::response_parser<http::buffer_body> parser;
     std::array<char, 16 * 1024> bytes{};
     SseParser events;
-    std::chrono::steady_clock::time_point asked{};
+    std::chrono::steady_clock::time_point answered{};
     bool over = false;
 };
 
@@ -79,7 +80,6 @@
     link->request.set(http::field::accept, "text/event-stream");
     link->request.set("Last-Event-ID", std::to_string(last_));
     arm(link);
-    link->asked = std::chrono::steady_clock::now();
     http::async_write(link->socket, link->request, [this, link](const error_code& error, std::size_t) {
         if (link->over) return;
         if (error) return again(link, error.message().c_str());
@@ -89,6 +89,7 @@
                 if (e) return again(link, e.message().c_str());
                 if (link->parser.get().result() != http::status::ok) return again(link, "not 200");
                 log_.line("bulletin-up", "resuming after event %lld", static_cast<long long>(last_));
+                link->answered = std::chrono::steady_clock::now();
                 arm(link);
                 read(link);
             });
@@ -119,7 +120,7 @@
 
 void Bulletin::alive(const std::shared_ptr<Link>& link) {
     arm(link);
-    if (std::chrono::steady_clock::now() < link->asked + kCaughtUp) return;
+    if (std::chrono::steady_clock::now() < link->answered + kCaughtUp) return;
     // Not before: one that ends each connection soon would be asked without a pause.
     pause_.reset();
     sure(true);
--- a/tests/silverrail/bulletin_test.cpp
+++ b/tests/silverrail/bulletin_test.cpp
@@ -175,6 +175,19 @@
     CHECK(feed.open() == 1);
 }
 
+// A feed that is slow to answer is no surer for that: what was missed comes behind the answer.
+void slow_answers_are_not_sure() {
+    asio::io_context io;
+    Feed feed{io};
+    Watch watch{io, feed.at()};
+    auto& first = asked(io, feed, 1);
+    const auto late = std::chrono::steady_clock::now() + 350ms;
+    while (std::chrono::steady_clock::now() <= late) {}
+    first.say(kHead + event(2, "a"));
+    run_until(io, [&] { return watch.taken.size() == 1; });
+    CHECK(!watch.sure);
+}
+
 // A move while the watch pauses, while it connects and while it is live: one watcher at the new place, none
 // left at the old one, and the numbers go on.
 void a_move_at_any_moment() {
@@ -233,6 +246,7 @@
 int main() {
     bad_events_are_asked_for_again();
     a_line_without_end_is_silence();
+    slow_answers_are_not_sure();
     a_move_at_any_moment();
     a_feed_that_hangs_up();
     std::puts("bulletin: what is lost on the way is asked for again");
