--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -285,7 +285,8 @@
 void Upstream::on_answer(const std::shared_ptr<Attempt>& attempt, const error_code& error) {
     if (attempt->over) return;
     if (error) return unreadable(attempt, error);
-    // An answer may come before the request is out: what follows on that connection would be read as the rest of it.
+    // An answer may come before the request is out: what follows on that connection would be read as the rest
+    // of it.
     const bool keeps = attempt->parser->keep_alive() && attempt->all_out;
     auto answer = attempt->parser->release();
     if (keeps) keep(attempt);
@@ -357,8 +358,8 @@
     // The last used of those that have rested: the longer one is idle, the likelier its box closes it.
     const core::Time rested = clock_.now() - limits_.rest;
     while (true) {
-        const auto from = std::find_if(idle.rbegin(), idle.rend(),
-                                       [&](const auto& l) { return l->idle_since <= rested; });
+        const auto from =
+            std::find_if(idle.rbegin(), idle.rend(), [&](const auto& l) { return l->idle_since <= rested; });
         if (from == idle.rend()) return nullptr;
         const auto link = *from;
         idle.erase(std::next(from).base());
