Let one piece each give up a call's attempts and write a last error

Written more than once: 'tell the module, withdraw, drop' in Engine::abandon and fail_now (let_go now); 'no keep-alive, open, respond with an error' three times in HttpSession (last_answer now). Derivable: the time at which an answer began to be written (since_ is free while one is); the longest deadline, worked out anew for each good answer in Hold::keep, is worked out once. Behaviour stays: no bound, check or message differs.

--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -134,8 +134,12 @@
     if (at == open_.end() || at->second.answered()) return;
     ++counters_.abandoned;
     at->second.sink = nullptr;
+    let_go(id);
+}
+
+// The module has nothing more to do for it, and what is still out serves nobody: given up at the box too.
+void Engine::let_go(RequestId id) {
     tell(winchflow::Abandoned{id});
-    // What is still out serves nobody: given up at the box too.
     withdraw(id);
     drop_if_done(id);
 }
@@ -355,14 +359,12 @@
     for (const RequestId id : open) fail_now(id, false);
 }
 
-// Without asking the module, which is told that it has nothing more to do for it.
+// Without asking the module.
 void Engine::fail_now(RequestId id, bool timed_out) {
     const auto at = open_.find(id);
     if (at == open_.end() || at->second.answered()) return;
     relay_.answer(at->second, Relay::failed(timed_out));
-    tell(winchflow::Abandoned{id});
-    withdraw(id);
-    drop_if_done(id);
+    let_go(id);
 }
 
 void Engine::finish(RequestId id, Answer answer) {
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -89,6 +89,7 @@
     void timed_out(const AttemptKey& key);
     void deadline(RequestId id);
     void fail_now(RequestId id, bool timed_out);
+    void let_go(RequestId id);
     void finish(RequestId id, Answer answer);
     void withdraw(RequestId id);  // cancels what is out
     void drop_if_done(RequestId id);
--- a/src/core/hold.cpp
+++ b/src/core/hold.cpp
@@ -38,7 +38,7 @@
 void Hold::keep(const OpenCall& open, const AttemptEnd& end, Time now, std::int64_t unix_ms) {
     if (end.ending != Ending::good || end.unchanged) return;
     // Guards rule 5 (no purged copy): past that, the purges that it may be older than are forgotten.
-    if (now - open.taken > longest_deadline(settings_)) return;
+    if (now - open.taken > longest_call_) return;
     const auto what = wanted(*open.call, open.class_index);
     if (!what) return;
     copies_->keep(*what, end.body, end.tag, end.made_ms, purges_.issued(*open.call, unix_ms).value_or(0));
--- a/src/core/hold.h
+++ b/src/core/hold.h
@@ -12,7 +12,10 @@
 class Hold {
 public:
     Hold(const winchflow::Settings& settings, const Purges& purges, Counters& counters)
-        : settings_(settings), purges_(purges), counters_(counters) {}
+        : settings_(settings),
+          longest_call_(longest_deadline(settings)),
+          purges_(purges),
+          counters_(counters) {}
     void set(copies::Limits limits) { copies_.emplace(settings_.classes, limits); }
     void told_of_purges(bool surely);
     void limit(std::size_t bytes) {
@@ -31,6 +34,7 @@
     std::optional<Answer> answer_of(std::optional<copies::Served> served);
 
     const winchflow::Settings& settings_;
+    const Span longest_call_;
     const Purges& purges_;
     Counters& counters_;
     std::optional<copies::Copies> copies_;  // absent: none are kept
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -36,9 +36,7 @@
         return end_after(server_.limits_.unread, &HttpSession::too_slow);
     if (nothing_came()) return linger();
     server_.log_.line("slow-request", "half a request, not the rest of it in time");
-    keep_alive_ = false;
-    state_ = State::open;
-    respond({http::status::request_timeout, 11});
+    last_answer(http::status::request_timeout);
 }
 
 void HttpSession::read() {
@@ -97,12 +95,16 @@
     // Not HTTP, or over a limit: said once, as the state of the stream is not known any more.
     server_.log_.line("bad-request", "%s", error.message().c_str());
     parser_.reset();
+    last_answer(error == http::error::body_limit     ? http::status::payload_too_large
+                : error == http::error::header_limit ? http::status::request_header_fields_too_large
+                                                     : http::status::bad_request);
+}
+
+// An error in place of a request that did not come whole, or is given up; the connection ends with it.
+void HttpSession::last_answer(http::status status) {
     keep_alive_ = false;
     state_ = State::open;
-    HttpResponse response{http::status::bad_request, 11};
-    if (error == http::error::body_limit) response.result(http::status::payload_too_large);
-    if (error == http::error::header_limit) response.result(http::status::request_header_fields_too_large);
-    respond(std::move(response));
+    respond({status, 11});
 }
 
 // Guards a last answer: closing with bytes unread would reset the connection and may take the answer along.
@@ -150,9 +152,7 @@
     server_.log_.line("early-flood", "over %zu bytes behind an open request", server_.limits_.early);
     const auto self = shared_from_this();
     if (const auto gone = std::exchange(gone_, nullptr)) gone();
-    if (state_ != State::open) return;
-    keep_alive_ = false;
-    respond({http::status::bad_request, 11});
+    if (state_ == State::open) last_answer(http::status::bad_request);
 }
 
 void HttpSession::lost() {
@@ -172,7 +172,7 @@
     response_.emplace(std::move(response));
     serializer_.emplace(*response_);
     socket_.cancel();  // the watch
-    writing_since_ = std::chrono::steady_clock::now();
+    since_ = std::chrono::steady_clock::now();
     write_some();
 }
 
@@ -183,7 +183,7 @@
                            [self = shared_from_this()](const error_code& error, std::size_t) {
                                if (self->state_ != State::writing) return;
                                if (!error && self->serializer_->is_done()) return self->written();
-                               const auto passed = std::chrono::steady_clock::now() - self->writing_since_;
+                               const auto passed = std::chrono::steady_clock::now() - self->since_;
                                // An answer that breaks off is cut short for the client to see: its length was
                                // told.
                                if (error || passed > self->server_.limits_.whole_write) return self->close();
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -68,6 +68,7 @@
     void end_after(Limit limit, void (HttpSession::*end)());  // unless the state moves on before that
     void too_slow();
     void flooded();
+    void last_answer(http::status status);
     void write_some();
     void written();
     bool nothing_came();
@@ -86,11 +87,11 @@
     std::function<void()> gone_;
     asio::steady_timer limit_;
     State state_ = State::reading;
-    std::chrono::steady_clock::time_point since_;  // opened, answered, began to linger, or seen to move
-    std::size_t seen_ = 0;                         // what had come of its request when it was looked at last
+    std::chrono::steady_clock::time_point
+        since_;             // opened, began to answer, answered, began to linger, or seen to move
+    std::size_t seen_ = 0;  // what had come of its request when it was looked at last
     std::uint64_t limits_set_ = 0;
     std::size_t discarded_ = 0;
-    std::chrono::steady_clock::time_point writing_since_;
     bool looked_again_ = false;  // after a limit on reading, for what had come by then
     bool keep_alive_ = false;
     bool first_ = true;  // no request has been read whole yet
