Tell the bulletin's figures as the other parts do, and let its tests share what they repeat

Rows have fields, Pulse and ask_narrowly serve both; every assertion stands (one, that two connections are open, came out of a wait). Left alone: the World structs of two parts, the simulators' headers, alike in shape only; Bulletin::connected, which only a test calls.

--- a/src/app/program.cpp
+++ b/src/app/program.cpp
@@ -310,8 +310,8 @@
         for (const auto& part : parts_) out += part->counters();
         if (bulletin_) {
             const auto& c = bulletin_->counters();
-            out += "bulletin_connects " + std::to_string(c.connects) + "\nbulletin_unreadable " +
-                   std::to_string(c.unreadable) + "\nbulletin_gaps " + std::to_string(c.gaps) + "\n";
+            out += figure_lines("bulletin",
+                                {{"connects", c.connects}, {"unreadable", c.unreadable}, {"gaps", c.gaps}});
         }
         return out;
     }
--- a/tests/silverrail/bulletin_test.cpp
+++ b/tests/silverrail/bulletin_test.cpp
@@ -86,31 +86,56 @@
     return *feed.watchers.back();
 }
 
+// Says the same every 100 ms, until its watcher is gone.
+class Pulse {
+public:
+    Pulse(asio::io_context& io, Feed::Watcher& to, std::string text)
+        : timer_(io), to_(to), text_(std::move(text)) {
+        beat();
+    }
+
+private:
+    void beat() {
+        timer_.expires_after(100ms);
+        timer_.async_wait([this](const net::error_code& error) {
+            if (error || to_.gone) return;
+            to_.say(text_);
+            beat();
+        });
+    }
+    asio::steady_timer timer_;
+    Feed::Watcher& to_;
+    std::string text_;
+};
+
 // What can't be read, and what was left out, is asked for again from the last good event; told the same way
 // twice, it is passed over.
 void bad_events_are_asked_for_again() {
     struct Case {
         const char* name;
         std::string first;   // to the first watcher
-        std::string second;  // to the second
+        std::string second;  // to the second, if there is one
+        std::string after;   // the number that the second asked from
         std::vector<std::int64_t> taken;
         std::size_t connects;
         std::uint64_t unreadable, gaps;
+        bool hangs_up = false;  // the feed, after the first
     };
     const Case cases[] = {
         {"spoilt once",
          event(2, "a") + event(3, "spoilt") + event(4, "c"),
          event(3, "b") + event(4, "c"),
+         "2",
          {2, 3, 4},
          2,
          1,
          0},
-        {"always bad", event(2, "spoilt"), event(2, "spoilt") + event(3, "b"), {3}, 2, 2, 0},
-        {"left out once", event(3, "b"), event(2, "a") + event(3, "b"), {2, 3}, 2, 0, 1},
-        {"numbers that leap", event(5, "a"), event(5, "a") + event(6, "b"), {5, 6}, 2, 0, 2},
-        {"a spoilt number", event(999999, "a"), event(2, "a") + event(3, "b"), {2, 3}, 2, 0, 1},
-        {"half an event, then the end", "id: 2\ndata: a\n", event(2, "a"), {2}, 2, 0, 0},
-        {"told twice", event(2, "a") + event(2, "a") + event(3, "b"), "", {2, 3}, 1, 0, 0},
+        {"always bad", event(2, "spoilt"), event(2, "spoilt") + event(3, "b"), "1", {3}, 2, 2, 0},
+        {"left out once", event(3, "b"), event(2, "a") + event(3, "b"), "1", {2, 3}, 2, 0, 1},
+        {"numbers that leap", event(5, "a"), event(5, "a") + event(6, "b"), "1", {5, 6}, 2, 0, 2},
+        {"a spoilt number", event(999999, "a"), event(2, "a") + event(3, "b"), "1", {2, 3}, 2, 0, 1},
+        {"half an event, then the end", "id: 2\ndata: a\n", event(2, "a"), "1", {2}, 2, 0, 0, true},
+        {"told twice", event(2, "a") + event(2, "a") + event(3, "b"), "", "", {2, 3}, 1, 0, 0},
     };
     for (const Case& c : cases) {
         asio::io_context io;
@@ -120,10 +145,9 @@
         CHECK(first.after == "1");
         first.say(kHead + c.first);
         if (c.connects == 2) {
-            if (std::string_view{c.name}.starts_with("half"))
-                first.socket.shutdown(tcp::socket::shutdown_send);
+            if (c.hangs_up) first.socket.shutdown(tcp::socket::shutdown_send);
             auto& second = asked(io, feed, 2);
-            CHECK(second.after == (std::string_view{c.name} == "spoilt once" ? "2" : "1"));
+            CHECK(second.after == c.after);
             second.say(kHead + c.second);
         }
         run_until(io, [&] { return watch.taken.size() == c.taken.size(); });
@@ -146,31 +170,14 @@
     auto& first = asked(io, feed, 1);
     const auto begin = std::chrono::steady_clock::now();
     first.say(kHead + event(2, "a") + "data: ");
-    asio::steady_timer pace{io};
-    std::function<void()> dribble = [&] {
-        pace.expires_after(100ms);
-        pace.async_wait([&](const net::error_code& error) {
-            if (error || first.gone) return;
-            first.say("x");
-            dribble();
-        });
-    };
-    dribble();
+    const Pulse dribble{io, first, "x"};
     auto& second = asked(io, feed, 2);
     CHECK(std::chrono::steady_clock::now() - begin < net::Bulletin::kSilence + 1500ms);
     CHECK(second.after == "2" && !watch.sure);
     second.say(kHead + event(3, "b"));
     run_until(io, [&] { return watch.taken.size() == 2; });
     // Sure again once a line has come past the time for what was missed.
-    std::function<void()> live = [&] {
-        pace.expires_after(100ms);
-        pace.async_wait([&](const net::error_code& error) {
-            if (error || watch.sure) return;
-            second.say(": here\n\n");
-            live();
-        });
-    };
-    live();
+    const Pulse live{io, second, ": here\n\n"};
     run_until(io, [&] { return watch.sure; });
     CHECK(feed.open() == 1);
 }
--- a/tests/silverrail/endings_test.cpp
+++ b/tests/silverrail/endings_test.cpp
@@ -342,6 +342,17 @@
     run_until(io, [&] { return two.heard.find("HTTP/1.1 200", 8) != std::string::npos; });
 }
 
+// Asks as a client that takes little of an answer at once.
+void ask_narrowly(asio::io_context& io, Router& router, tcp::socket& reader, const Request& request) {
+    reader.open(tcp::v4());
+    reader.set_option(asio::socket_base::receive_buffer_size(32 * 1024));
+    reader.connect(router.server.local());
+    const std::size_t before = router.server.connections();
+    run_until(io, [&] { return router.server.connections() > before; });
+    CHECK(narrow(reader.local_endpoint()) == 1);
+    asio::write(reader, asio::buffer(text_of(request)));
+}
+
 // The end of the server: who rests sees a plain end, and what crosses it is not sent on; who was promised a
 // further answer and has asked gets it.
 void the_end_owes_nothing() {
@@ -355,12 +366,8 @@
     // Does not read its answer yet, so the router is still writing when it is told to end.
     box.response = Box::hit(std::string(240'000, 'b'));
     tcp::socket reader{io};
-    reader.open(tcp::v4());
-    reader.set_option(asio::socket_base::receive_buffer_size(32 * 1024));
-    reader.connect(router.server.local());
-    run_until(io, [&] { return router.server.connections() == 2; });
-    CHECK(narrow(reader.local_endpoint()) == 1);
-    asio::write(reader, asio::buffer(text_of(ask("pages", "00000000000000aa"))));
+    ask_narrowly(io, router, reader, ask("pages", "00000000000000aa"));
+    CHECK(router.server.connections() == 2);
     run_until(io, [&] { return router.engine.counters().served == 2 && reader.available() > 0; });
     router.server.stop();
     rests.say(text_of(ask("pages", "00000000000000bb")));
@@ -398,18 +405,9 @@
     limits.write = 400ms;
     Router router{io, limits};
     router.list_with_sources({listed("s-a", box.address())});
-    const auto open = [&](tcp::socket& reader) {
-        reader.open(tcp::v4());
-        reader.set_option(asio::socket_base::receive_buffer_size(32 * 1024));
-        reader.connect(router.server.local());
-        const std::size_t before = router.server.connections();
-        run_until(io, [&] { return router.server.connections() > before; });
-        CHECK(narrow(reader.local_endpoint()) == 1);
-        asio::write(reader, asio::buffer(text_of(ask("pages", kObject))));
-    };
     tcp::socket moves{io}, stopped{io};
-    open(moves);
-    open(stopped);
+    ask_narrowly(io, router, moves, ask("pages", kObject));
+    ask_narrowly(io, router, stopped, ask("pages", kObject));
     std::string heard;
     char part[20'000];
     asio::steady_timer pace{io};
