--- /dev/null
+++ b/tests/silverrail/faults_test.cpp
@@ -0,0 +1,196 @@
+// The program as a process whose system calls fail in documented ways, or whose clock steps, at an instant
+// that the test chooses. A scenario a run.
+#include <cstring>
+
+#include "program.h"
+
+using namespace silverrail;
+using namespace silverrail::stand;
+using lab::Fault;
+
+namespace {
+
+const std::string kObject = "7f3a9c21e0b4d655";
+
+std::int64_t unix_ms() { return net::SystemClock{}.unix_ms(); }
+
+struct World {
+    explicit World(const std::string& control = {})
+        : faults(
+              (std::filesystem::temp_directory_path() / ("silverrail-faults-" + std::to_string(::getpid())))
+                  .string()),
+          program(discovery.address(), server.address(), control, &faults) {
+        run_until(io, [&] { return program.listens(); });
+        run_until(io, [&] { return discovery.resumed_after.size() == 1; });
+    }
+    ~World() { std::filesystem::remove(faults.path()); }
+
+    // The answer's status; 0 if none came within `most`.
+    unsigned status_within(Request request, std::chrono::milliseconds most) {
+        Client client{io, program.at};
+        client.send(std::move(request));
+        const auto bound = std::chrono::steady_clock::now() + most;
+        run_until(io, [&] { return client.done || std::chrono::steady_clock::now() > bound; });
+        return client.done && !client.broken ? client.status() : 0;
+    }
+    std::string counter(const std::string& name) {
+        Client client{io, program.at};
+        client.send(Request{net::http::verb::get, "/counters", 11});
+        run_until(io, [&] { return client.done; });
+        const std::string text = "\n" + client.response.body();
+        const auto at = text.find("\n" + name + " ");
+        return at == std::string::npos
+                   ? ""
+                   : text.substr(at + name.size() + 2, text.find('\n', at + 1) - at - name.size() - 2);
+    }
+    void tell(const std::string& no, const std::string& what) {
+        discovery.say("id: " + no + "\ndata: {\"no\":" + no + "," + what + "}\n\n");
+    }
+
+    asio::io_context io;
+    Bulletin discovery{io};
+    Box server{io};
+    lab::FaultFile faults;
+    Program program;
+};
+
+// The system takes a third of what it is given, as it may: answers, requests and writes go out all the same.
+void short_writes() {
+    World world;
+    world.server.response = Box::hit(std::string(120'000, 'x'));
+    for (int calls = 1; calls <= 6; ++calls) {
+        world.faults.fail_next(Fault::write_short, static_cast<std::uint32_t>(calls));
+        CHECK(world.status_within(ask("pages", kObject, 1500), 2000ms) == 200);
+        world.faults.fail_next(Fault::write_short, static_cast<std::uint32_t>(calls));
+        Request write = ask("lodge", kObject, 1500);
+        write.body() = std::string(40'000, 'w');
+        CHECK(world.status_within(std::move(write), 2000ms) == 200);
+    }
+    CHECK(world.faults.delivered(Fault::write_short) > 20);
+}
+
+// A connection that was given up before it was taken: those behind it in the queue are still taken at once.
+void aborted_accept() {
+    World world;
+    for (int calls = 1; calls <= 3; ++calls) {
+        world.faults.fail_next(Fault::accept_aborted, static_cast<std::uint32_t>(calls));
+        CHECK(world.status_within(ask("pages", kObject, 1000), 1500ms) == 200);
+    }
+    CHECK(world.faults.delivered(Fault::accept_aborted) == 6);
+}
+
+// The file of the configuration can't be opened or read for a moment: the new discovery is followed all the
+// same.
+void reload_fails_for_a_moment() {
+    World world;
+    Bulletin moved{world.io};
+    world.program.configure(moved.address(), "1");
+    world.faults.fail_next(Fault::file_open, 3);
+    world.faults.fail_next(Fault::file_read, 2);
+    world.program.hang_up();
+    // What discovery has to tell counts as told 4 s after the signal.
+    const auto bound = std::chrono::steady_clock::now() + 4s;
+    run_until(world.io,
+              [&] { return moved.resumed_after.size() == 1 || std::chrono::steady_clock::now() > bound; });
+    CHECK(moved.resumed_after.size() == 1);
+}
+
+// No socket, buffer or file for the first moments: it starts once there is.
+void start_fails_for_a_moment() {
+    asio::io_context io;
+    Bulletin discovery{io};
+    Box server{io};
+    lab::FaultFile faults{
+        (std::filesystem::temp_directory_path() / ("silverrail-faults-" + std::to_string(::getpid())))
+            .string()};
+    for (const Fault fault : {Fault::socket_no_files, Fault::socket_no_buffers, Fault::file_open}) {
+        faults.fail_next(fault, 3);
+        Program program{discovery.address(), server.address(), "", &faults};
+        run_until(io, [&] { return program.listens() || program.logged("fatal"); });
+        CHECK(program.listens());
+    }
+    std::filesystem::remove(faults.path());
+}
+
+// Discovery that many ask at once takes seconds to answer: it is waited for, not asked anew each time.
+void slow_discovery() {
+    World world;
+    world.discovery.answer_after = 4s;
+    world.discovery.cut();
+    const auto bound = std::chrono::steady_clock::now() + 16s;
+    run_until(world.io, [&] {
+        return world.discovery.resumed_after.size() == 2 || std::chrono::steady_clock::now() > bound;
+    });
+    CHECK(world.discovery.resumed_after.size() == 2);
+}
+
+// A purge that is told after the clock has stepped: copies from before it are not asked for.
+void purge_after_step(std::int64_t step_ms) {
+    World world;
+    CHECK(world.status_within(ask("pages", kObject), 2000ms) == 200);
+    world.faults.step_wall_clock(step_ms);
+    CHECK(world.status_within(ask("pages", "00000000000000aa"), 2000ms) == 200);
+    const auto issued = unix_ms();
+    world.tell("2", R"("recall":{"lot":17,"issued":)" + std::to_string(issued) + "}");
+    run_until(world.io, [&] { return world.counter("purges") == "1"; });
+    CHECK(world.status_within(ask("pages", "00000000000000bb"), 2000ms) == 200);
+    const auto& request = world.server.seen.back().request;
+    CHECK(request.target().find("bb") != net::beast::string_view::npos);
+    const auto oldest = std::atoll(std::string{request["No-Older-Than"]}.c_str());
+    // Not older than the purge, and no stricter than by the way of the news and what the clocks may differ
+    // by.
+    CHECK(oldest >= 1 && oldest <= unix_ms() - issued);
+    const auto later = std::chrono::steady_clock::now() + 1s;
+    run_until(world.io, [&] { return std::chrono::steady_clock::now() > later; });
+    CHECK(world.status_within(ask("pages", "00000000000000cc"), 2000ms) == 200);
+    const auto then = std::atoll(std::string{world.server.seen.back().request["No-Older-Than"]}.c_str());
+    CHECK(then >= 900 && then <= unix_ms() - issued);
+}
+
+void wall_clock_forward() {
+    purge_after_step(3'600'000);
+    purge_after_step(30'000);
+}
+void wall_clock_back() {
+    purge_after_step(-3'600'000);
+    purge_after_step(-3'000);
+}
+
+// Trouble of this machine's own in opening a connection: nothing was sent, and no server has a part in it.
+void local_connect_errors() {
+    World world;
+    for (const Fault fault : {Fault::socket_no_files, Fault::socket_no_buffers, Fault::connect_no_address,
+                              Fault::connect_unreachable})
+        for (const char* kind : {"pages", "lodge"}) {
+            world.server.reset_all();
+            world.faults.fail_next(fault, 2);
+            CHECK(world.status_within(ask(kind, kObject, 1500), 2000ms) == 200);
+        }
+    CHECK(world.counter("ending_no_connection") == "0");
+}
+
+struct Scenario {
+    const char* name;
+    void (*run)();
+};
+constexpr Scenario kScenarios[] = {{"short_writes", short_writes},
+                                   {"aborted_accept", aborted_accept},
+                                   {"reload_fails_for_a_moment", reload_fails_for_a_moment},
+                                   {"start_fails_for_a_moment", start_fails_for_a_moment},
+                                   {"slow_discovery", slow_discovery},
+                                   {"wall_clock_forward", wall_clock_forward},
+                                   {"wall_clock_back", wall_clock_back},
+                                   {"local_connect_errors", local_connect_errors}};
+
+}  // namespace
+
+int main(int argc, char** argv) {
+    for (const auto& scenario : kScenarios)
+        if (argc > 1 && std::strcmp(argv[1], scenario.name) == 0) {
+            scenario.run();
+            std::printf("faults: %s as it should be\n", scenario.name);
+            return 0;
+        }
+    std::fprintf(stderr, "which scenario?\n");
+    return 2;
+}
--- a/tests/silverrail/program.h
+++ b/tests/silverrail/program.h
@@ -12,6 +12,7 @@
 #include <sstream>
 
 #include "config/config.h"
+#include "lab/faults/control.h"
 #include "stand.h"
 
 namespace silverrail::stand {
@@ -27,6 +28,7 @@
     void say(const std::string& text) { asio::write(*socket_, asio::buffer(text)); }
     void cut() { socket_->close(); }
     std::vector<std::string> resumed_after;
+    std::chrono::milliseconds answer_after{};  // from the request to the answer's head
 
 private:
     void accept() {
@@ -38,15 +40,26 @@
             http::async_read(*socket_, buffer_, request_, [this](const net::error_code& e, std::size_t) {
                 if (e) return accept();
                 CHECK(request_.target() == "/bulletins");
-                const auto last = request_["Last-Event-ID"];
-                say("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n: here\n\n");
-                resumed_after.emplace_back(last.data(), last.size());
-                accept();
+                if (answer_after == std::chrono::milliseconds{}) return answer();
+                wait_.expires_after(answer_after);
+                wait_.async_wait([this](const net::error_code&) { answer_unless_left(); });
             });
         });
     }
+    void answer() {
+        const auto last = request_["Last-Event-ID"];
+        say("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n: here\n\n");
+        resumed_after.emplace_back(last.data(), last.size());
+        accept();
+    }
+    void answer_unless_left() {
+        char byte = 0;
+        if (::recv(socket_->native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0) return accept();
+        answer();
+    }
     tcp::acceptor acceptor_;
     std::optional<tcp::socket> socket_;
+    asio::steady_timer wait_{acceptor_.get_executor()};
     net::beast::flat_buffer buffer_;
     Request request_;
 };
@@ -67,8 +80,10 @@
 class Program {
 public:
     Program(const std::string& bulletin, const std::string& box) : Program(bulletin, box, "") {}
-    Program(const std::string& bulletin, const std::string& box, const std::string& control)
-        : at(free_endpoint()), box_(box) {
+    // With `faults` its system calls fail by that file's word.
+    Program(const std::string& bulletin, const std::string& box, const std::string& control,
+            const lab::FaultFile* faults = nullptr)
+        : at(free_endpoint()), box_(box), faults_(faults) {
         folder_ = std::filesystem::temp_directory_path() / ("silverrail-run-" + std::to_string(::getpid()));
         std::filesystem::create_directory(folder_);
         file_ = folder_ / "config.json";
@@ -86,6 +101,9 @@
             ::setenv("EDGE_CONTROL", control.c_str(), 1);
             ::unsetenv("EDGE_LISTEN");
             ::setenv("SILVERRAIL_SETTINGS", (folder_ / "settings.json").c_str(), 1);
+#ifdef SILVERRAIL_FAULT_LIBRARY
+            if (faults_) faults_->set_environment(SILVERRAIL_FAULT_LIBRARY, 1);
+#endif
             const int log = ::open((folder_ / "log").c_str(), O_CREAT | O_WRONLY | O_APPEND, 0600);
             ::dup2(log, STDERR_FILENO);
             ::execl(SILVERRAIL_PROGRAM, SILVERRAIL_PROGRAM, nullptr);
@@ -107,7 +125,7 @@
             "give-up":5000000000,"effect":"pure"},
             {"name":"lodge","aim":700000000,"give-up":5000000000,"effect":"side_effect"}],"zone":"edge-1","dcs":["north","edge-1"],"weights":"rough",
             "kinds":["small-box","parent","origin"],"family-info":{"second-tier-kind":1,"origin-kind":2,
-            "uncached":[false,true]},
+            "uncached":[false,true],"heed-within":500000000,"cleared-within":6000000000},
             "invariants":{}}})";
     }
     void settings(const std::string& json) { std::ofstream{folder_ / "settings.json"} << json; }
@@ -159,6 +177,7 @@
 
 private:
     std::string box_;
+    const lab::FaultFile* faults_;
     std::filesystem::path folder_;
     std::filesystem::path file_;
     pid_t pid_ = -1;
