Show that a connection accepted in the turn of the drain's end is dropped

Cause, found by reading on_accept beside stop: with several connections in the queue the second accept completes at once, and its handler is queued; where the end of the drain (or an upgrade's hand-over) stops the listener before that handler runs, the handler returns on stopping_ and the accepted socket is closed. Its client's request is lost.

--- a/tests/silverrail/endings_test.cpp
+++ b/tests/silverrail/endings_test.cpp
@@ -1,6 +1,7 @@
 // Where something ends while something else is still owed: the bad order is made to happen, each time.
 #include <optional>
 
+#include "net/listener.h"
 #include "stand.h"
 
 using namespace silverrail;
@@ -430,9 +431,32 @@
     run_until(io, [&] { return router.server.connections() == 0; });
 }
 
+// The machine has accepted a connection for us, and in the same turn of the loop the listener is stopped: it
+// is taken all the same, as the request on it is ours. `turns`: handlers that run before the one that stops,
+// so that it comes before, between and after the system's word on the connection and the handler for that.
+void accepted_in_the_turn_of_the_end(int turns) {
+    asio::io_context io;
+    Log log;
+    net::Listener listener{io, loopback(), net::Listener::Port::alone, log};
+    std::vector<tcp::socket> taken;
+    listener.start([&](tcp::socket socket) { taken.push_back(std::move(socket)); });
+    run_until(io, [&] { return io.poll() == 0; });
+    std::vector<tcp::socket> clients;
+    for (int i = 0; i < 3; ++i) clients.emplace_back(io).connect(listener.local());
+    std::function<void(int)> stop_after = [&](int left) {
+        if (left == 0) return listener.stop();
+        asio::post(io, [&stop_after, left] { stop_after(left - 1); });
+    };
+    asio::post(io, [&] { stop_after(turns); });
+    run_until(io, [&] { return listener.closed(); });
+    run_until(io, [&] { return io.poll() == 0; });
+    CHECK(taken.size() == clients.size() && listener.counters().taken == clients.size());
+}
+
 }  // namespace
 
 int main() {
+    for (const int turns : {0, 1, 2, 3, 4, 5}) accepted_in_the_turn_of_the_end(turns);
     who_left_waiting_for_a_socket();
     who_left_waiting_for_a_connection();
     who_left_before_a_second_copy();
