--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -63,7 +63,8 @@
 
 void Listener::on_accept(const error_code& error, tcp::socket socket) {
     if (error == asio::error::operation_aborted) return;
-    if (stopping_) return;
+    // Stopped in the turn in which it was taken: it is ours, and owed what any other is.
+    if (stopping_ && error) return;
     if (error && trouble_of(error) == Trouble::resources) {
         out_of_resources(error);
         return pause(&Listener::accept);
