Begin starts and reloads anew that fail for a moment, and wait for discovery that is slow

Tried again for 2 s, 100 ms apart; a file that is not good changes nothing as before. - serve(): one failing socket, bind or file ended the process. Up to two asked before are waited for beside the next one, 10 s each; the first to answer is read and the others are closed. As many requests reach discovery as before. store/read_file reads whole files for both.

--- a/src/app/program.cpp
+++ b/src/app/program.cpp
@@ -5,6 +5,8 @@
 #include <cstdlib>
 #include <functional>
 #include <memory>
+#include <system_error>
+#include <thread>
 #include <vector>
 
 #include "app/bans_part.h"
@@ -26,6 +28,7 @@
 #include "net/clock.h"
 #include "net/http_server.h"
 #include "net/upstream.h"
+#include "store/read_file.h"
 
 namespace silverrail::app {
 namespace {
@@ -45,6 +48,14 @@
 // Discovery tells what has come about some seconds later at most, while it is heard at all.
 constexpr core::Span kNewsLate = 10s;
 
+// A configuration that is not good at the signal is looked at again, so often and so far apart.
+constexpr int kReloads = 20;
+constexpr auto kBetweenReloads = 100ms;
+
+// A start that fails for a reason of the moment is begun anew for so long.
+constexpr auto kStartTriedFor = 6s;
+constexpr auto kBetweenStarts = 50ms;
+
 core::Span kill_after(const winchflow::Settings& settings) {
     const core::Span longest = core::longest_deadline(settings);
     return (longest > core::Span{} ? std::min(longest, kLongestCounted) : kLongestCounted) + kKilledAfter;
@@ -121,7 +132,8 @@
           signals_(io_, SIGTERM, SIGINT, SIGUSR1),
           dump_(io_, SIGUSR2),
           hangup_(io_, SIGHUP),
-          poll_(io_) {
+          poll_(io_),
+          reload_again_(io_) {
         engine_.keep_copies(copy_limits(config_, shares_));
         if (const auto processes = overlap_.processes(); processes > 1) share_with(processes);
         overlap_.follow([this](std::size_t processes) { share_with(processes); });
@@ -184,7 +196,8 @@
                 DnsPart::World{io_, engine_, clock_, timers_, log_, config_.seed}, settings_));
     }
 
-    int run() {
+    // Takes clients from here on. Throws what makes a start impossible, for a moment or for good.
+    void start() {
         for (const auto& part : parts_) part->start();
         for (const Json::Value& item : config_.known) take(item, core::Span::max());
         if (!config_.bulletin.empty()) {
@@ -204,6 +217,9 @@
         wait_for_signal();
         wait_for_hangup();
         wait_for_dump();
+    }
+
+    int run() {
         hold_signals(SIG_UNBLOCK);
         lifecycle_.enter(Lifecycle::Phase::ready);
         io_.run();
@@ -253,8 +269,21 @@
             wait_for_dump();
         });
     }
-    // The new file replaces nothing before it has been read whole and found good.
+    // A file that is being written, or can't be read in this moment, may be good in the next: what discovery
+    // has to tell binds some seconds after the signal, whatever became of that.
     void reload() {
+        reloads_left_ = kReloads;
+        try_reload();
+    }
+    void try_reload() {
+        if (reload_once() || --reloads_left_ == 0) return;
+        reload_again_.expires_after(kBetweenReloads);
+        reload_again_.async_wait([this](const net::error_code& error) {
+            if (!error) try_reload();
+        });
+    }
+    // The new file replaces nothing before it has been read whole and found good. False: it was not.
+    bool reload_once() {
         try {
             config::Config fresh = config::load_config(sources_.config);
             std::vector<std::string> problems;
@@ -264,12 +293,18 @@
                 log_.line("reload", "%s has changed: not applied, takes a restart", section);
             for (const auto& name : config::need_restart(config_, fresh))
                 log_.line("reload", "%s has changed: not applied, takes a restart", name.c_str());
-            if (fresh.bulletin == config_.bulletin || !bulletin_)
-                return log_.line("reload", "read; the bulletin stays");
+            if (fresh.bulletin == config_.bulletin || !bulletin_) {
+                log_.line("reload", "read; the bulletin stays");
+                return true;
+            }
             bulletin_->move_to(endpoint_of(fresh.bulletin));
             config_.bulletin = fresh.bulletin;
             log_.line("reload", "the bulletin is now at %s", config_.bulletin.c_str());
-        } catch (const std::exception& e) { log_.line("reload-failed", "%s; nothing was changed", e.what()); }
+            return true;
+        } catch (const std::exception& e) {
+            log_.line("reload-failed", "%s; nothing was changed", e.what());
+            return false;
+        }
     }
     void entered(Lifecycle::Phase phase) {
         log_.line("phase", "%s, %zu open calls, %zu client connections",
@@ -314,8 +349,9 @@
         for (const auto& part : parts_) out += part->counters();
         if (bulletin_) {
             const auto& c = bulletin_->counters();
-            out += figure_lines("bulletin",
-                                {{"connects", c.connects}, {"unreadable", c.unreadable}, {"gaps", c.gaps}});
+            out += figure_lines(
+                "bulletin",
+                {{"connects", c.connects}, {"unreadable", c.unreadable}, {"gaps", c.gaps}, {"slow", c.slow}});
         }
         return out;
     }
@@ -339,6 +375,8 @@
     net::asio::signal_set dump_;
     net::asio::signal_set hangup_;
     net::asio::steady_timer poll_;
+    net::asio::steady_timer reload_again_;
+    int reloads_left_ = 0;
     core::Time last_answers_at_ = core::Time::max();
     std::optional<net::Bulletin> bulletin_;
 };
@@ -357,19 +395,53 @@
     return s;
 }
 
+namespace {
+
+// Reads all settings and makes the program of them, ready to run; null where they are wrong, which is said.
+std::unique_ptr<Program> make_program(const Sources& sources) {
+    auto config = config::load_config(sources.config);
+    if (!sources.listen.empty()) config.listen = sources.listen;
+    if (!sources.control.empty()) config.control = sources.control;
+    std::vector<std::string> problems;
+    const auto settings = config::load_operator(sources.settings, sources.settings_named, problems);
+    for (const std::string& problem : problems) Log{}.line("fatal", "%s", problem.c_str());
+    if (!problems.empty()) return nullptr;
+    auto program = std::make_unique<Program>(sources, std::move(config), settings);
+    program->start();
+    return program;
+}
+
+// The system's error number behind an exception; 0: it is of another kind.
+int system_error_of(const std::exception& error) {
+    if (const auto* of_asio = dynamic_cast<const boost::system::system_error*>(&error))
+        return of_asio->code().category() == boost::system::system_category() ? of_asio->code().value() : 0;
+    const auto* of_library = dynamic_cast<const std::system_error*>(&error);
+    return of_library ? of_library->code().value() : 0;
+}
+
+// Guards the start: descriptors, buffers or the address may be wanting for a moment.
+std::unique_ptr<Program> make_program_in_time(const Sources& sources) {
+    const auto until = std::chrono::steady_clock::now() + kStartTriedFor;
+    while (true) {
+        try {
+            return make_program(sources);
+        } catch (const std::exception& error) {
+            const bool momentary = store::is_momentary(system_error_of(error));
+            if (!momentary || std::chrono::steady_clock::now() > until) throw;
+            Log{}.line("start-again", "%s", error.what());
+        }
+        std::this_thread::sleep_for(kBetweenStarts);
+    }
+}
+
+}  // namespace
+
 int serve(const Sources& sources) {
     try {
         std::signal(SIGPIPE, SIG_IGN);
         hold_signals(SIG_BLOCK);
-        auto config = config::load_config(sources.config);
-        if (!sources.listen.empty()) config.listen = sources.listen;
-        if (!sources.control.empty()) config.control = sources.control;
-        std::vector<std::string> problems;
-        const auto settings = config::load_operator(sources.settings, sources.settings_named, problems);
-        for (const std::string& problem : problems) Log{}.line("fatal", "%s", problem.c_str());
-        if (!problems.empty()) return 1;
-        Program program{sources, std::move(config), settings};
-        return program.run();
+        const auto program = make_program_in_time(sources);
+        return program ? program->run() : 1;
     } catch (const std::exception& e) {
         Log{}.line("fatal", "%s", e.what());
         return 1;
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -2,11 +2,11 @@
 
 #include <algorithm>
 #include <charconv>
-#include <fstream>
 #include <limits>
 #include <memory>
 #include <set>
-#include <sstream>
+
+#include "store/read_file.h"
 
 namespace silverrail::config {
 
@@ -14,6 +14,8 @@
 
 using winchflow::Span;
 
+constexpr std::size_t kLongestFile = 64 * 1024 * 1024;
+
 // A JSON object whose keys are read by name; errors name the whole path.
 class Node {
 public:
@@ -243,11 +245,7 @@
 }
 
 Config load_config(const std::string& path) {
-    std::ifstream file{path, std::ios::binary};
-    if (!file) throw ConfigError("cannot read " + path);
-    std::ostringstream text;
-    text << file.rdbuf();
-    const auto json = parse_json(text.str());
+    const auto json = parse_json(store::read_file(path, kLongestFile));
     if (!json) throw ConfigError(path + ": not JSON");
     return parse_config(*json);
 }
--- a/src/config/operator.cpp
+++ b/src/config/operator.cpp
@@ -1,16 +1,18 @@
 #include "config/operator.h"
 
 #include <algorithm>
-#include <fstream>
 #include <memory>
-#include <sstream>
+#include <system_error>
 
 #include "config/section.h"
+#include "store/read_file.h"
 
 namespace silverrail::config {
 
 namespace {
 
+constexpr std::size_t kLongestFile = 1024 * 1024;
+
 // Rule 3 (drains): a box may be named in a cache for 2 s after it was said to drain. Half of that is kept for
 // the answer's way, so more than a second is not to be had.
 constexpr std::int64_t kLongestTtl = 1;
@@ -167,14 +169,16 @@
 }
 
 OperatorSettings load_operator(const std::string& path, bool must_exist, std::vector<std::string>& problems) {
-    std::ifstream file{path, std::ios::binary};
-    if (!file) {
-        if (must_exist) problems.push_back(path + ": can't be read");
+    std::string text;
+    try {
+        text = store::read_file(path, kLongestFile);
+    } catch (const std::system_error& e) {
+        // Not there is one thing; there and not readable in this moment would turn every part off unseen.
+        const bool absent = e.code() == std::errc::no_such_file_or_directory;
+        if (!absent && store::is_momentary(e.code().value())) throw;
+        if (must_exist || !absent) problems.push_back(path + ": can't be read");
         return {};
     }
-    std::ostringstream bytes;
-    bytes << file.rdbuf();
-    const std::string text = bytes.str();
     Json::CharReaderBuilder builder;
     builder["stackLimit"] = 64;
     builder["collectComments"] = false;
--- a/src/net/bulletin.cpp
+++ b/src/net/bulletin.cpp
@@ -12,6 +12,10 @@
 constexpr std::chrono::milliseconds kFirstPause{50};
 constexpr std::chrono::milliseconds kLongestPause{500};
 constexpr std::chrono::milliseconds kConnect{1000};
+// Where many ask at once an answer takes its time: asked anew each time, one would never have it. So a
+// connection that was asked is waited for beside the next one, for so long and so many.
+constexpr std::chrono::milliseconds kLongestAnswer{10'000};
+constexpr std::size_t kMostUnanswered = 2;
 // What was missed comes right behind the answer's head. What comes later than this tells that the feed is
 // live, while a purge that was missed may still be heeded. Not counted from the asking: a slow answer would
 // use it up.
@@ -49,6 +53,7 @@
 
 Bulletin::~Bulletin() {
     if (link_) link_->close();
+    let_go(std::move(unanswered_));
 }
 
 void Bulletin::move_to(const tcp::endpoint& at) {
@@ -57,6 +62,7 @@
     sure(false);
     // Given up at once, half an event with it: the old address may stay open and tell nothing more.
     if (const auto old = std::exchange(link_, nullptr)) old->close();
+    let_go(std::exchange(unanswered_, {}));
     wait_.cancel();
     pause_.reset();
     connect();
@@ -81,21 +87,58 @@
     link->request.set(http::field::host, at_.address().to_string() + ":" + std::to_string(at_.port()));
     link->request.set(http::field::accept, "text/event-stream");
     link->request.set("Last-Event-ID", std::to_string(last_));
-    arm(link);
+    link->silence.expires_after(kSilence);
+    link->silence.async_wait([this, link](const error_code& error) {
+        if (!error && !link->over) ask_beside(link);
+    });
     http::async_write(link->socket, link->request, [this, link](const error_code& error, std::size_t) {
         if (link->over) return;
         if (error) return again(link, error.message().c_str());
-        http::async_read_header(
-            link->socket, link->buffer, link->parser, [this, link](const error_code& e, std::size_t) {
-                if (link->over) return;
-                if (e) return again(link, e.message().c_str());
-                if (link->parser.get().result() != http::status::ok) return again(link, "not 200");
-                log_.line("bulletin-up", "resuming after event %lld", static_cast<long long>(last_));
-                link->answered = std::chrono::steady_clock::now();
-                arm(link);
-                read(link);
-            });
+        http::async_read_header(link->socket, link->buffer, link->parser,
+                                [this, link](const error_code& e, std::size_t) {
+                                    if (link->over) return;
+                                    if (e) return again(link, e.message().c_str());
+                                    if (link->parser.get().result() != http::status::ok)
+                                        return again(link, "not 200");
+                                    answered(link);
+                                });
+    });
+}
+
+// The first to answer is the one that is read.
+void Bulletin::answered(const std::shared_ptr<Link>& link) {
+    if (link_ != link) {
+        if (link_) link_->close();
+        wait_.cancel();
+        link_ = link;
+    }
+    std::erase(unanswered_, link);
+    let_go(std::exchange(unanswered_, {}));
+    log_.line("bulletin-up", "resuming after event %lld", static_cast<long long>(last_));
+    link->answered = std::chrono::steady_clock::now();
+    arm(link);
+    read(link);
+}
+
+// No answer in time: it may be slow, and it may be dead.
+void Bulletin::ask_beside(const std::shared_ptr<Link>& link) {
+    if (link_ != link) return;
+    ++counters_.slow;
+    log_.line("bulletin-slow", "no answer yet; last event %lld", static_cast<long long>(last_));
+    link->silence.expires_after(kLongestAnswer - kSilence);
+    link->silence.async_wait([this, link](const error_code& error) {
+        if (!error && !link->over) again(link, "no answer");
     });
+    unanswered_.push_back(std::exchange(link_, nullptr));
+    if (unanswered_.size() > kMostUnanswered) {
+        let_go({unanswered_.front()});
+        unanswered_.erase(unanswered_.begin());
+    }
+    connect_after_pause();
+}
+
+void Bulletin::let_go(std::vector<std::shared_ptr<Link>> links) {
+    for (const auto& link : links) link->close();
 }
 
 void Bulletin::read(const std::shared_ptr<Link>& link) {
@@ -140,7 +183,13 @@
     sure(false);
     log_.line("bulletin-down", "%s; last event %lld", why, static_cast<long long>(last_));
     link->close();
+    // Another is on its way already.
+    if (std::erase(unanswered_, link) > 0) return;
     if (link_ == link) link_ = nullptr;
+    connect_after_pause();
+}
+
+void Bulletin::connect_after_pause() {
     wait_.expires_after(pause_.next());
     wait_.async_wait([this](const error_code& error) {
         // Guards against two connections: a move may have made one after this wait was over.
--- a/src/net/bulletin.h
+++ b/src/net/bulletin.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <vector>
 
 #include "log/log.h"
 #include "net/asio.h"
@@ -19,6 +20,7 @@
         std::uint64_t connects = 0;
         std::uint64_t unreadable = 0;  // events that can't be read, each time one came
         std::uint64_t gaps = 0;        // numbers left out, each time it was seen
+        std::uint64_t slow = 0;        // connections that were asked and not answered in time
     };
     // A comment comes each second: without a whole line for so long the connection is taken for dead. Single
     // bytes are no sign of life, as a feed that never ends a line tells nothing.
@@ -43,6 +45,10 @@
     struct Link;
     void connect();
     void request(const std::shared_ptr<Link>& link);
+    void answered(const std::shared_ptr<Link>& link);
+    void ask_beside(const std::shared_ptr<Link>& link);
+    void connect_after_pause();
+    void let_go(std::vector<std::shared_ptr<Link>> links);
     void read(const std::shared_ptr<Link>& link);
     void alive(const std::shared_ptr<Link>& link);
     void arm(const std::shared_ptr<Link>& link);
@@ -57,7 +63,8 @@
     Take take_;
     Log& log_;
     asio::steady_timer wait_;
-    std::shared_ptr<Link> link_;
+    std::shared_ptr<Link> link_;                     // the one that is read, or is to be; absent: it pauses
+    std::vector<std::shared_ptr<Link>> unanswered_;  // asked before that, the longest ago first
     Backoff pause_;
     std::function<void(bool)> told_sure_;
     bool sure_ = false;
