Add a randomized fault soak of real processes, and show two faults that it found

Root of the first two, shown by three scenarios of faults_test that stop the process or send two requests at once: a request's time counts from its reading, and nothing looks whether its client is still there. Listed until the mends.

--- /dev/null
+++ b/src/lab/soak/async.h
@@ -0,0 +1,39 @@
+// Coroutines on Asio as the soak writes them: errors come back in a variable, never as exceptions.
+#pragma once
+
+#include "net/asio.h"
+
+namespace silverrail::lab::soak {
+
+namespace asio = net::asio;
+namespace beast = net::beast;
+namespace http = net::http;
+using net::error_code;
+using net::tcp;
+
+template <class Value = void>
+using Task = asio::awaitable<Value>;
+
+// co_await stream.async_something(..., into(error));
+inline auto into(error_code& error) { return asio::redirect_error(asio::use_awaitable, error); }
+
+inline Task<> pause(std::chrono::steady_clock::duration span) {
+    asio::steady_timer timer{co_await asio::this_coro::executor, span};
+    error_code error;
+    co_await timer.async_wait(into(error));
+}
+
+inline void spawn(asio::io_context& io, Task<> task) { asio::co_spawn(io, std::move(task), asio::detached); }
+
+inline std::string text_of(const tcp::endpoint& at) {
+    return at.address().to_string() + ":" + std::to_string(at.port());
+}
+
+// Ends a connection as a dying process does.
+inline void reset(tcp::socket& socket) {
+    error_code ignored;
+    socket.set_option(asio::socket_base::linger{true, 0}, ignored);
+    socket.close(ignored);
+}
+
+}  // namespace silverrail::lab::soak
--- a/tests/silverrail/faults_test.cpp
+++ b/tests/silverrail/faults_test.cpp
@@ -1,6 +1,8 @@
 // The program as a process whose system calls fail in documented ways, or whose clock steps, at an instant
 // that the test chooses. A scenario a run.
+#include <algorithm>
 #include <cstring>
+#include <sstream>
 
 #include "program.h"
 
@@ -173,6 +175,88 @@
     CHECK(world.counter("ending_no_connection") == "0");
 }
 
+// The process gets no processor for a while, as on a crowded machine.
+struct Stopped {
+    explicit Stopped(World& of) : world(of) { CHECK(::kill(world.program.pid(), SIGSTOP) == 0); }
+    ~Stopped() { CHECK(::kill(world.program.pid(), SIGCONT) == 0); }
+    World& world;
+};
+
+bool reached(const World& world, const Request& request) {
+    return std::any_of(world.server.seen.begin(), world.server.seen.end(),
+                       [&](const auto& seen) { return seen.request["Call-Id"] == request["Trace-Id"]; });
+}
+
+std::string text_of_request(Request request) {
+    request.prepare_payload();
+    std::ostringstream out;
+    out << request;
+    return out.str();
+}
+
+// A request comes and its client leaves before the router has run again: nothing is begun for it.
+void left_while_stopped() {
+    for (const bool resets : {false, true})
+        for (const bool early_bytes : {false, true}) {
+            World world;
+            Client waits{world.io, world.program.at};  // a connection that is open already
+            const Request request = ask("pages", kObject, 1500);
+            {
+                const Stopped stopped{world};
+                RawClient leaves{world.io, world.program.at};
+                leaves.say(text_of_request(request) + (early_bytes ? "GET /early" : ""));
+                if (resets)
+                    leaves.reset();
+                else
+                    leaves.half_close();
+                world.wait(200ms);
+            }
+            CHECK(world.status_within(ask("pages", "00000000000000aa", 1500), 2000ms) == 200);
+            CHECK(!reached(world, request));
+        }
+}
+
+std::int64_t told_ms(World& world, const Request& request) {
+    run_until(world.io, [&] { return reached(world, request); });
+    for (const auto& seen : world.server.seen)
+        if (seen.request["Call-Id"] == request["Trace-Id"])
+            return std::atoll(std::string{seen.request["Call-Ms"]}.c_str());
+    return -1;
+}
+
+// A request waits unread while the router does not run: servers are told what its client has left.
+void deadline_after_stop() {
+    World world;
+    for (const bool on_a_new_connection : {false, true}) {
+        std::optional<Client> client;
+        if (!on_a_new_connection) client.emplace(world.io, world.program.at);
+        world.wait(100ms);
+        const Request request = ask("pages", on_a_new_connection ? kObject : "00000000000000aa", 1500);
+        const auto sent = std::chrono::steady_clock::now();
+        {
+            const Stopped stopped{world};
+            if (!client) client.emplace(world.io, world.program.at);
+            client->send(request);
+            world.wait(600ms);
+        }
+        const auto told = told_ms(world, request);
+        CHECK(told <= 1500 - 600 + 150 && told > 0);
+        run_until(world.io, [&] { return client->done; });
+        CHECK(client->status() == 200 && std::chrono::steady_clock::now() - sent < 2s);
+    }
+}
+
+// Sent at once with one before it, a request has waited for that one's answer.
+void deadline_of_a_pipelined_request() {
+    World world;
+    world.server.act = Box::Act::stay_silent;
+    const Request first = ask("lodge", kObject, 500);
+    const Request second = ask("lodge", "00000000000000aa", 1000);
+    RawClient client{world.io, world.program.at, text_of_request(first) + text_of_request(second)};
+    CHECK(told_ms(world, first) <= 500);
+    CHECK(told_ms(world, second) <= 1000 - 500 + 150);
+}
+
 struct Scenario {
     const char* name;
     void (*run)();
@@ -184,6 +268,9 @@
                                    {"slow_discovery", slow_discovery},
                                    {"wall_clock_forward", wall_clock_forward},
                                    {"wall_clock_back", wall_clock_back},
+                                   {"left_while_stopped", left_while_stopped},
+                                   {"deadline_after_stop", deadline_after_stop},
+                                   {"deadline_of_a_pipelined_request", deadline_of_a_pipelined_request},
                                    {"local_connect_errors", local_connect_errors}};
 
 }  // namespace
