Count a request's time from its coming, begin nothing for who has left, and guard every send

Cause of the soak's two finds: the router took the moment at which it read a request for that of its coming, and took the request without a look at its connection. After a pause of the process (no processor, SIGSTOP) or behind another request on the same connection, servers were told up to 1.2 s too much, and attempts began up to 675 ms after the client had left. Change: net/loop_watch sees pauses of the event loop by a beat of 40 ms; what is read right after one counts from its beginning. A request that was buffered behind another counts from when its bytes were seen. A request whose client has gone is not taken, also where the end stands behind early bytes (POLLRDHUP), and a later attempt looks again at its first byte. core/guard is the one place that lets attempts start and first bytes go out: named states of a call with a table of what may follow, its own account of what may have run, reasons for what is held back, violations counted by rule; all of it in the figures and in the last log line. Sessions count why they were closed; retries, refusals, failures and who left are logged by the client's id. Platform no longer needs a clock.

--- a/src/app/program.cpp
+++ b/src/app/program.cpp
@@ -125,7 +125,7 @@
           timers_(io_),
           upstream_(io_, upstream_limits(config_, shares_), clock_, log_),
           engine_(config_.settings, config_.seed, config_.sockets, clock_, timers_, upstream_, log_),
-          platform_(engine_, clock_, lifecycle_, log_),
+          platform_(engine_, lifecycle_, log_),
           server_(
               io_, endpoint_of(config_.listen), server_limits(config_, shares_),
               [this](auto session, auto request) { platform_.handle(session, std::move(request)); }, log_),
@@ -347,6 +347,7 @@
     std::string part_counters() {
         std::string out;
         for (const auto& part : parts_) out += part->counters();
+        out += client_counters();
         if (bulletin_) {
             const auto& c = bulletin_->counters();
             out += figure_lines(
@@ -356,6 +357,25 @@
         return out;
     }
 
+    std::string client_counters() {
+        const auto& of = server_.counters();
+        const auto& accepts = server_.accepts();
+        std::string out = figure_lines("clients", {{"violations", of.violations()},
+                                                   {"closed_unanswered", of.closed_unanswered},
+                                                   {"second_answers", of.second_answers},
+                                                   {"left_before_taken", of.left_before_taken},
+                                                   {"accepted", accepts.taken},
+                                                   {"accept_aborted", accepts.aborted},
+                                                   {"accept_pauses", accepts.pauses}});
+        for (std::size_t i = 0; i < net::kCloseReasons; ++i) {
+            const std::string name = "closed_" + std::string{net::name_of(static_cast<net::CloseReason>(i))};
+            out += figure_lines("clients", {{name.c_str(), of.closed[i]}});
+        }
+        const auto longest = server_.loop().longest_pause() / 1ms;
+        return out + figure_lines("loop", {{"pauses", server_.loop().pauses()},
+                                           {"longest_pause_ms", static_cast<std::uint64_t>(longest)}});
+    }
+
     const Sources sources_;
     config::Config config_;
     const config::OperatorSettings settings_;
--- a/src/core/counters.cpp
+++ b/src/core/counters.cpp
@@ -1,10 +1,21 @@
 #include "core/counters.h"
 
+#include <numeric>
+
 namespace silverrail::core {
 
+namespace {
+constexpr const char* kEndings[] = {"good",  "error",     "full",     "late", "no_connection",
+                                    "reset", "cancelled", "not_sent", "miss", "unseen"};
+}
+
+const char* Counters::name_of(Ending ending) { return kEndings[static_cast<std::size_t>(ending)]; }
+
+std::uint64_t Counters::all_violations() const {
+    return std::accumulate(violations.begin(), violations.end(), std::uint64_t{0});
+}
+
 std::string Counters::text() const {
-    static constexpr const char* kEndings[] = {"good",  "error",     "full",     "late", "no_connection",
-                                               "reset", "cancelled", "not_sent", "miss", "unseen"};
     std::string out;
     const auto put = [&out](const char* name, std::uint64_t value) {
         out += name;
@@ -41,6 +52,11 @@
     put("purges", purges);
     put("clock_steps", clock_steps);
     put("clock_doubts", clock_doubts);
+    put("violations", all_violations());
+    for (std::size_t i = 0; i < violations.size(); ++i)
+        put(("violation_" + std::string{core::name_of(static_cast<Violation>(i))}).c_str(), violations[i]);
+    for (std::size_t i = 0; i < held.size(); ++i)
+        put(("held_" + std::string{core::name_of(static_cast<Held>(i))}).c_str(), held[i]);
     for (std::size_t i = 0; i < endings.size(); ++i)
         put((std::string{"ending_"} + kEndings[i]).c_str(), endings[i]);
     return out;
--- a/src/core/counters.h
+++ b/src/core/counters.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "core/guard.h"
 #include "core/types.h"
 
 namespace silverrail::core {
@@ -33,8 +34,10 @@
     std::uint64_t clock_steps = 0;   // of the wall clock, seen against the steady one
     std::uint64_t clock_doubts = 0;  // news that can't be as old as the wall clock says
     std::uint64_t open = 0;
-    std::array<std::uint64_t, 10> endings{};  // by winchflow::Ending
-    std::uint64_t backend_calls = 0;          // attempts written whole to a box
+    std::array<std::uint64_t, kHeldReasons> held{};       // of held_at_first_byte, by reason
+    std::array<std::uint64_t, kViolations> violations{};  // seen by the guard, by rule
+    std::array<std::uint64_t, 10> endings{};              // by winchflow::Ending
+    std::uint64_t backend_calls = 0;                      // attempts written whole to a box
     // Computed when asked.
     std::uint64_t inflight = 0;      // of `open`, those without their answer
     std::uint64_t hosts_listed = 0;  // boxes that the list names and has not given up
@@ -47,6 +50,8 @@
     };
     std::vector<ByClass> classes;  // in the order of the settings
 
+    static const char* name_of(Ending ending);
+    std::uint64_t all_violations() const;
     std::string text() const;  // one "name value" a line
 };
 
--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -15,6 +15,8 @@
 
 // A server may be listed some time after its start: its list, and the server itself, may be slow.
 constexpr Span kLongestStart = std::chrono::seconds{60};
+// What is sent within this of the reading of its request goes out in the same turn of the loop.
+constexpr Span kJustTaken = std::chrono::milliseconds{2};
 constexpr std::size_t kMostZones = 64;  // that sends are counted for
 
 using winchflow::Condition;
@@ -42,7 +44,8 @@
       route_(weighted(settings_), seed),
       send_(fleet_, purges_),
       relay_(counters_),
-      book_(counters_) {
+      book_(counters_),
+      guard_(settings_) {
     for (const auto& c : settings_.classes) counters_.classes.push_back({.name = c.name});
 }
 
@@ -68,6 +71,9 @@
 const Counters& Engine::counters() {
     counters_.open = open_.size();
     counters_.clock_steps = unix_time_.steps();
+    for (std::size_t i = 0; i < kHeldReasons; ++i) counters_.held[i] = guard_.held(static_cast<Held>(i));
+    for (std::size_t i = 0; i < kViolations; ++i)
+        counters_.violations[i] = guard_.violations(static_cast<Violation>(i));
     counters_.inflight = static_cast<std::uint64_t>(
         std::count_if(open_.begin(), open_.end(), [](const auto& e) { return !e.second.answered(); }));
     counters_.hosts_listed = fleet_.count_listed([](const Box&) { return true; });
@@ -104,6 +110,7 @@
     }
     const RequestId id = take_in_.next_id();
     take_in_.claim(call.trace);
+    guard_.taken(id, *class_index);
     open.call = std::make_shared<const Call>(std::move(call));
     open.id = id;
     open.class_index = *class_index;
@@ -137,6 +144,8 @@
     if (at == open_.end() || at->second.answered()) return;
     ++counters_.abandoned;
     at->second.sink = nullptr;
+    guard_.left(id);
+    tell_why("client-left", at->second);
     let_go(id);
 }
 
@@ -281,6 +290,13 @@
         ended(key, {.ending = Ending::not_sent});
         return;
     }
+    // Guards rule 2 (no repeated effect) and the limits of attempts, whatever was decided.
+    if (!guard_.start(key)) {
+        tell_of_violation();
+        ended(key, {.ending = Ending::not_sent});
+        return;
+    }
+    if (attempt > 0) tell_why("retry", open);
     if (open.call->referred) return refer(open, *order);
     ++counters_.sent;
     const Box* target = fleet_.find(order->target);
@@ -297,7 +313,7 @@
     const auto address = send_.referral(order, settings_.parent_kind, clock_.now());
     const AttemptKey key = order.key;
     if (!address) ++counters_.not_carried;
-    relay_.answer(open, address ? Relay::referred(*address) : Relay::refused(kNotCarriedHoldOff, false));
+    answer(open, address ? Relay::referred(*address) : Relay::refused(kNotCarriedHoldOff, false));
     ended(key, {.ending = Ending::unseen});
 }
 
@@ -337,14 +353,51 @@
     if (at == open_.end() || key.attempt >= at->second.attempts.size()) return std::nullopt;
     const OpenAttempt& attempt = at->second.attempts[key.attempt];
     if (!attempt.out || !attempt.order || at->second.answered()) return std::nullopt;
+    const Time now = clock_.now();
+    const auto held = guard_.send(key, facts_at_first_byte(at->second, attempt, now));
     bool tightened = false;
-    const auto oldest = send_.at_first_byte(*attempt.order, clock_.now(), tightened);
-    if (!oldest) ++counters_.held_at_first_byte;
+    std::optional<Span> oldest;
+    if (!held) oldest = send_.oldest(*attempt.order, now, tightened);
+    if (held) {
+        ++counters_.held_at_first_byte;
+        log_.line("held", "%s attempt %u to %s: %s", at->second.call->trace.c_str(), key.attempt,
+                  attempt.order->target.address.c_str(), std::string{name_of(*held)}.c_str());
+    }
     if (tightened) ++counters_.tightened;
-    if (observer_) observer_->first_byte(key, oldest, tightened, clock_.now());
+    if (observer_) observer_->first_byte(key, oldest, tightened, now);
     return oldest;
 }
 
+Guard::Facts Engine::facts_at_first_byte(const OpenCall& call, const OpenAttempt& attempt, Time now) const {
+    const Order& order = *attempt.order;
+    Guard::Facts facts;
+    facts.now = now;
+    facts.give_up = order.give_up;
+    // Guards rule 2 (no repeated effect): the wait for a connection may have outlasted the window of repeats.
+    facts.repeat_before = order.repeat_before;
+    // Told of with the next turn of the loop, perhaps; what goes out at once was looked at when it came.
+    facts.client_left = now > call.taken + kJustTaken && call.sink->client_left();
+    // Guards rule 3 (drains): one may have been told during the wait.
+    facts.target_usable = send_.usable(order.target);
+    facts.source_usable = !order.source || send_.usable(*order.source);
+    return facts;
+}
+
+void Engine::answer(OpenCall& open, Answer answer) {
+    if (relay_.answer(open, std::move(answer))) guard_.answered(open.id);
+}
+
+void Engine::tell_of_violation() { log_.line("violation", "%s", guard_.last_violation().c_str()); }
+
+// One line: the call, how its last attempt ended and how many there were.
+void Engine::tell_why(const char* event, const OpenCall& open) const {
+    const auto state = guard_.state(open.id);
+    log_.line(event, "%s %s: %zu attempts, %s, last ending %s", open.call->trace.c_str(),
+              open.call->class_name.c_str(), open.attempts.size(),
+              state ? std::string{name_of(*state)}.c_str() : "closed",
+              open.last_ending ? Counters::name_of(*open.last_ending) : "none");
+}
+
 void Engine::ended(const AttemptKey& key, AttemptEnd end) {
     auto at = open_.find(key.request);
     if (at == open_.end() || key.attempt >= at->second.attempts.size()) return;
@@ -353,6 +406,8 @@
     if (!attempt.out) return;
     attempt.out = false;
     attempt.order.reset();
+    open.last_ending = end.ending;
+    guard_.ended(key, end.ending);
     if (attempt.timer) timers_.cancel(std::exchange(attempt.timer, 0));
     const bool good = end.ending == Ending::good;
     const Time now = clock_.now();
@@ -360,7 +415,7 @@
     if (end.made_ms > 0) unix_time_.passed(now, end.made_ms, UnixTime::Source::any);
     hold_.keep(open, end, now, unix_time_.latest_ms(now));
     const auto outcome = book_.outcome(key, end, attempt, good || open.answered(), now);
-    if (good) relay_.answer(open, Relay::served(std::move(end)));
+    if (good) answer(open, Relay::served(std::move(end)));
     tell(outcome);
 }
 
@@ -396,14 +451,17 @@
 void Engine::fail_now(RequestId id, bool timed_out) {
     const auto at = open_.find(id);
     if (at == open_.end() || at->second.answered()) return;
-    relay_.answer(at->second, Relay::failed(timed_out));
+    tell_why("failed", at->second);
+    answer(at->second, Relay::failed(timed_out));
     let_go(id);
 }
 
-void Engine::finish(RequestId id, Answer answer) {
+void Engine::finish(RequestId id, Answer reply) {
     auto at = open_.find(id);
     if (at == open_.end()) return;
-    relay_.answer(at->second, std::move(answer));
+    if (!at->second.answered() && reply.kind == Answer::Kind::refused) tell_why("refused", at->second);
+    if (!at->second.answered() && reply.kind == Answer::Kind::failed) tell_why("failed", at->second);
+    answer(at->second, std::move(reply));
     drop_if_done(id);
 }
 
@@ -412,6 +470,7 @@
     if (at == open_.end() || !at->second.answered() || !at->second.idle()) return;
     if (at->second.guard) timers_.cancel(at->second.guard);
     take_in_.release(at->second.call->trace);
+    guard_.closed(id);
     open_.erase(at);
 }
 
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -8,6 +8,7 @@
 
 #include "core/admit.h"
 #include "core/book.h"
+#include "core/guard.h"
 #include "core/hold.h"
 #include "core/observer.h"
 #include "core/relay.h"
@@ -92,11 +93,15 @@
     void act(const winchflow::Fail& fail);
     void act(const winchflow::SetTimer& timer);
     void refer(OpenCall& open, const Order& order);
+    Guard::Facts facts_at_first_byte(const OpenCall& call, const OpenAttempt& attempt, Time now) const;
+    void answer(OpenCall& open, Answer answer);
+    void tell_of_violation();
+    void tell_why(const char* event, const OpenCall& open) const;
     void timed_out(const AttemptKey& key);
     void deadline(RequestId id);
     void fail_now(RequestId id, bool timed_out);
     void let_go(RequestId id);
-    void finish(RequestId id, Answer answer);
+    void finish(RequestId id, Answer reply);
     void withdraw(RequestId id);  // cancels what is out
     void drop_if_done(RequestId id);
 
@@ -117,6 +122,7 @@
     Send send_;
     Relay relay_;
     Book book_;
+    Guard guard_;
     std::map<std::string, std::uint64_t> sent_away_;
     Observer* observer_ = nullptr;
     Origin origin_;  // of the list or purge that is being applied
--- a/src/core/send.cpp
+++ b/src/core/send.cpp
@@ -27,12 +27,7 @@
     return order;
 }
 
-std::optional<Span> Send::at_first_byte(const Order& order, Time now, bool& tightened) const {
-    // Guards rule 2 (no repeated effect): the wait for a connection may have outlasted the window of repeats.
-    if (now >= order.give_up || (order.repeat_before && now >= *order.repeat_before)) return std::nullopt;
-    // Guards rule 3 (drains): one may have been told during the wait.
-    if (!fleet_.may_be_named(order.target)) return std::nullopt;
-    if (order.source && !fleet_.may_be_named(*order.source)) return std::nullopt;
+Span Send::oldest(const Order& order, Time now, bool& tightened) const {
     // Guards rule 5 (purges): one told during the wait binds by the time of the first byte.
     const auto bound = purges_.bound(*order.call, now);
     tightened = bound && (order.oldest == Span{} || *bound < order.oldest);
--- a/src/front/platform/platform.cpp
+++ b/src/front/platform/platform.cpp
@@ -76,6 +76,7 @@
         if (const auto session = std::exchange(session_, nullptr))
             session->respond(response_of(std::move(answer)));
     }
+    bool client_left() const override { return session_ && session_->client_left(); }
 
 private:
     std::shared_ptr<net::HttpSession> session_;
@@ -83,7 +84,7 @@
 
 }  // namespace
 
-std::variant<core::Call, std::string> parse_call(net::HttpRequest request, core::Time now) {
+std::variant<core::Call, std::string> parse_call(net::HttpRequest request, core::Time arrived) {
     core::Call call;
     if (request.method() != http::verb::get && request.method() != http::verb::put)
         return "neither GET nor PUT";
@@ -92,7 +93,7 @@
     if (call.trace.size() != 16 || !config::parse_hex(call.trace)) return "Trace-Id: not 16 hex digits";
     const auto wait = number<std::int64_t>(view(request["Max-Wait-Ms"]));
     if (!wait || *wait <= 0 || *wait > kLongestWaitMs) return "Max-Wait-Ms: not a time";
-    call.deadline = now + std::chrono::milliseconds{*wait};
+    call.deadline = arrived + std::chrono::milliseconds{*wait};
     if (const auto lot = view(request["X-Lot"]); !lot.empty()) {
         const auto group = number<std::uint64_t>(lot);
         if (!group || *group > 255) return "X-Lot: not 0 to 255";
@@ -150,7 +151,7 @@
         if (more_counters_) r.body() += more_counters_();
         return session->respond(std::move(r));
     }
-    auto call = parse_call(std::move(request), clock_.now());
+    auto call = parse_call(std::move(request), session->arrived());
     if (const auto* why = std::get_if<std::string>(&call)) {
         log_.line("bad-call", "%s", why->c_str());
         return session->respond({http::status::bad_request, 11});
--- a/src/front/platform/platform.h
+++ b/src/front/platform/platform.h
@@ -11,20 +11,19 @@
 namespace silverrail::front {
 
 // The call in a request, or the reason why there is none.
-std::variant<core::Call, std::string> parse_call(net::HttpRequest request, core::Time now);
+std::variant<core::Call, std::string> parse_call(net::HttpRequest request, core::Time arrived);
 net::HttpResponse response_of(core::Answer answer);
 
 class Platform {
 public:
-    Platform(core::Engine& engine, const core::Clock& clock, const Lifecycle& lifecycle, Log& log)
-        : engine_(engine), clock_(clock), lifecycle_(lifecycle), log_(log) {}
+    Platform(core::Engine& engine, const Lifecycle& lifecycle, Log& log)
+        : engine_(engine), lifecycle_(lifecycle), log_(log) {}
     // Further lines for `GET /counters`.
     void also_count(std::function<std::string()> more) { more_counters_ = std::move(more); }
     void handle(const std::shared_ptr<net::HttpSession>& session, net::HttpRequest request);
 
 private:
     core::Engine& engine_;
-    const core::Clock& clock_;
     const Lifecycle& lifecycle_;
     Log& log_;
     std::function<std::string()> more_counters_;
--- a/src/lab/soak/clients.cpp
+++ b/src/lab/soak/clients.cpp
@@ -142,6 +142,8 @@
         co_return;
     }
     for (std::size_t i = 0; i < all.size(); ++i) {
+        // A connection carries one request at a time: one behind another is not answered before that.
+        if (i > 0) oracle_.find(all[i].id)->answer_from = Clock::now();
         if (co_await receive(connection, all[i])) continue;
         // Those behind it are not owed more than it was.
         for (std::size_t k = i + 1; k < all.size(); ++k) oracle_.forget(all[k].id);
@@ -156,7 +158,7 @@
 
 // True: answered, and the connection goes on.
 Task<bool> Clients::receive(Connection& connection, const Sent& sent) {
-    connection.limit.expires_at(oracle_.find(sent.id)->written + sent.request.wait + kGivenUp);
+    connection.limit.expires_at(oracle_.find(sent.id)->answer_due() + kGivenUp);
     bool given_up = false;
     connection.limit.async_wait([&given_up, &socket = connection.socket](const error_code& error) {
         if (error) return;
--- a/src/lab/soak/main.cpp
+++ b/src/lab/soak/main.cpp
@@ -35,7 +35,8 @@
     std::map<Rule, std::size_t> by_rule;
     for (const Violation& violation : result.violations) {
         if (by_rule[violation.rule]++ < kMostPrinted / 4)
-            std::printf("  %s: %s\n", std::string{name_of(violation.rule)}.c_str(), violation.what.c_str());
+            std::printf("  at %lld ms, %s: %s\n", static_cast<long long>((violation.at - result.began) / 1ms),
+                        std::string{name_of(violation.rule)}.c_str(), violation.what.c_str());
     }
     for (const auto& [rule, count] : by_rule)
         std::printf("  %zu of %s\n", count, std::string{name_of(rule)}.c_str());
--- a/src/lab/soak/oracle.cpp
+++ b/src/lab/soak/oracle.cpp
@@ -60,7 +60,7 @@
     request->status = status;
     ++outcomes_[std::to_string(status)];
     const auto took = Clock::now() - request->written;
-    if (took > request->wait + 500ms + kRuleSlack + slack())
+    if (Clock::now() > request->answer_due() + 500ms + kRuleSlack + slack())
         violation(Rule::answered, id + ": answered after " + in_ms(took) + " of " + in_ms(request->wait));
     if ((status == 429 || status == 503) && request->effect == Effect::unsafe && request->runs > 0)
         violation(Rule::not_refused, id + ": refused, though it has run");
--- a/src/lab/soak/oracle.h
+++ b/src/lab/soak/oracle.h
@@ -66,11 +66,14 @@
     std::string path;  // CLASS/OBJECT/PART
     std::size_t lot = 0;
     Millis wait{};
-    Moment written{};              // its last byte
-    std::optional<Moment> left{};  // its client has gone
+    Moment written{};                     // its last byte
+    std::optional<Moment> answer_from{};  // behind another on its connection: when that was answered
+    std::optional<Moment> left{};         // its client has gone
     std::optional<Moment> first_run{};
     std::optional<int> status{};
     int runs = 0;
+
+    Moment answer_due() const { return std::max(written + wait, answer_from.value_or(written)); }
 };
 
 struct Violation {
--- a/src/lab/soak/routers.cpp
+++ b/src/lab/soak/routers.cpp
@@ -97,6 +97,8 @@
         const int log = ::open((r.folder / "log").c_str(), O_CREAT | O_WRONLY | O_APPEND | O_CLOEXEC, 0600);
         ::dup2(log, STDOUT_FILENO);
         ::dup2(log, STDERR_FILENO);
+        // The sockets of this program's clients and servers: held open there, their ends would not be seen.
+        ::close_range(STDERR_FILENO + 1, ~0U, 0);
         ::execl(programs_.router.c_str(), programs_.router.c_str(), nullptr);
         ::_exit(127);
     }
--- a/src/lab/soak/soak.cpp
+++ b/src/lab/soak/soak.cpp
@@ -42,7 +42,7 @@
                 oracle_.violation(Rule::own_guard,
                                   "router " + std::to_string(i) + ": " + std::to_string(counted));
         }
-        return {oracle_.violations(), oracle_.requests(), oracle_.outcomes(), worst_lag_};
+        return {oracle_.violations(), oracle_.requests(), oracle_.outcomes(), began_, worst_lag_};
     }
 
 private:
@@ -56,13 +56,13 @@
             co_await pause(20ms);
         clients_.start();
         spawn(io_, watch_processes());
-        const Moment began = Clock::now();
+        began_ = Clock::now();
         for (const Trouble& trouble : plan_) {
-            co_await pause(began + trouble.at - Clock::now());
+            co_await pause(began_ + trouble.at - Clock::now());
             if (options_.tell_troubles) std::printf("%s\n", trouble.text().c_str());
             spawn(io_, play(trouble));
         }
-        co_await pause(began + options_.plan.length - Clock::now());
+        co_await pause(began_ + options_.plan.length - Clock::now());
         clients_.stop();
         while (!clients_.done()) co_await pause(20ms);
         co_await end_all();
@@ -391,6 +391,7 @@
     std::vector<char> busy_;  // being ended and begun anew
     std::vector<Stops> stops_;
     std::set<std::size_t> gone_;  // servers
+    Moment began_{};
     Millis worst_lag_{};
     bool over_ = false;
 };
--- a/src/lab/soak/soak.h
+++ b/src/lab/soak/soak.h
@@ -22,6 +22,7 @@
     std::vector<Violation> violations;
     std::size_t requests = 0;
     std::map<std::string, std::size_t> outcomes;
+    Moment began{};      // of the schedule
     Millis worst_lag{};  // of this program itself
 };
 
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -12,6 +12,7 @@
 #include "members/give_way.h"
 #include "net/asio.h"
 #include "net/listener.h"
+#include "net/loop_watch.h"
 #include "net/tcp_stream.h"
 
 namespace silverrail::net {
@@ -38,6 +39,34 @@
 
 class HttpServer;
 
+// Why a client's connection was closed.
+enum class CloseReason : std::uint8_t {
+    answered_last,  // after an answer that was said to be the last
+    client_left,
+    broken,         // an error of the connection
+    idle_end,       // nothing was open on it, at the process's end
+    silent,         // nothing came in time
+    slow_request,   // half a request came in time
+    evicted,        // it gave way to others
+    unreadable,     // not HTTP, or over a limit
+    flooded,        // too much behind an open request
+    write_stalled,  // its answer was not taken
+    shut_down,      // with the server itself
+    count_
+};
+constexpr std::size_t kCloseReasons = static_cast<std::size_t>(CloseReason::count_);
+std::string_view name_of(CloseReason reason);
+
+struct HttpCounters {
+    std::array<std::uint64_t, kCloseReasons> closed{};
+    std::uint64_t left_before_taken = 0;  // requests whose client had gone when they were read whole
+    // Violations: an open request whose connection was closed unanswered while its client was there; a second
+    // answer to one request.
+    std::uint64_t closed_unanswered = 0;
+    std::uint64_t second_answers = 0;
+    std::uint64_t violations() const { return closed_unanswered + second_answers; }
+};
+
 // One connection. It lives while its operations do.
 class HttpSession : public std::enable_shared_from_this<HttpSession> {
 public:
@@ -49,7 +78,11 @@
     void respond(HttpResponse response);
     // Called once if the client goes away before its answer.
     void when_gone(std::function<void()> action) { gone_ = std::move(action); }
-    void close();
+    // When the last byte of the open request came, at the earliest.
+    core::Time arrived() const { return arrived_; }
+    // Has the client closed or reset the connection, by what the system says now?
+    bool client_left();
+    void close(CloseReason reason);
     void close_if_idle();
 
     // For the decision on who gives way when connections run short.
@@ -61,18 +94,22 @@
     using Limit = std::chrono::milliseconds;
     void read();
     void on_first_byte();
-    void on_head(const error_code& error);
-    void on_read(const error_code& error);
+    void on_head(const error_code& error, std::size_t consumed);
+    void on_read(const error_code& error, std::size_t consumed);
     void unreadable(const error_code& error);
-    void linger();
+    void linger(CloseReason reason);
+    void linger_over() { close(CloseReason::answered_last); }
+    void write_stalled() { close(CloseReason::write_stalled); }
+    core::Time arrival(std::size_t consumed) const;
     void discard();
     void end_after(Limit limit, void (HttpSession::*end)());  // unless the state moves on before that
     void too_slow();
     void flooded();
-    void last_answer(http::status status);
+    void last_answer(http::status status, CloseReason reason);
     void write_some();
     void written();
     bool nothing_came();
+    void read_what_came(core::Time since);
     std::size_t came();
     void watch();
     void on_watch(const error_code& error);
@@ -93,6 +130,10 @@
     std::size_t seen_ = 0;  // what had come of its request when it was looked at last
     std::uint64_t limits_set_ = 0;
     std::size_t discarded_ = 0;
+    std::size_t buffered_ = 0;     // of the request that is read, when its reading began
+    core::Time buffered_since_{};  // and since when, at the earliest
+    core::Time arrived_{};
+    std::optional<CloseReason> reason_;
     bool looked_again_ = false;  // after a limit on reading, for what had come by then
     bool keep_alive_ = false;
     bool first_ = true;  // no request has been read whole yet
@@ -119,6 +160,8 @@
     // Nothing is open any more and nothing can come.
     bool done() const { return listener_.closed() && sessions_.empty(); }
     const Listener::Counters& accepts() const { return listener_.counters(); }
+    const HttpCounters& counters() const { return counters_; }
+    const LoopWatch& loop() const { return loop_; }
     std::size_t connections() const { return sessions_.size(); }
     // Frees descriptors when the process runs out of them.
     void when_out_of_descriptors(std::function<void()> action) {
@@ -131,6 +174,8 @@
     bool make_room();
 
     Listener listener_;
+    LoopWatch loop_;
+    HttpCounters counters_;
     HttpLimits limits_;
     Handler handler_;
     Log& log_;
--- a/tests/silverrail/stand.h
+++ b/tests/silverrail/stand.h
@@ -324,7 +324,7 @@
         : timers(io),
           upstream(io, to_boxes, clock, log),
           engine(settings(), 7, most_open, clock, timers, upstream, log),
-          platform(engine, clock, lifecycle, log),
+          platform(engine, lifecycle, log),
           server(
               io, loopback(), limits,
               [this](auto session, auto request) { platform.handle(session, std::move(request)); }, log) {
