--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -59,7 +59,8 @@
 
 struct HttpCounters {
     std::array<std::uint64_t, kCloseReasons> closed{};
-    std::uint64_t left_before_taken = 0;  // requests whose client had gone when they were read whole
+    std::uint64_t full_of_early_bytes = 0;  // open requests with as much behind them as is read early
+    std::uint64_t left_before_taken = 0;    // requests whose client had gone when they were read whole
     // Violations: an open request whose connection was closed unanswered while its client was there; a second
     // answer to one request.
     std::uint64_t closed_unanswered = 0;
--- a/tests/silverrail/faults_test.cpp
+++ b/tests/silverrail/faults_test.cpp
@@ -257,6 +257,38 @@
     CHECK(told_ms(world, second) <= 1000 - 500 + 150);
 }
 
+// What is out by hand holds over a disk that fails: nothing is refused that needs no writing, and what could
+// not be kept is kept as soon as it can be.
+void bans_on_a_failing_disk() {
+    const auto at = free_endpoint();
+    World world{text_of(at)};
+    const auto kept = [&](const std::string& id) {
+        for (const auto& file : std::filesystem::directory_iterator{world.program.folder()}) {
+            if (file.path().extension() != ".bans") continue;
+            std::ostringstream text;
+            text << std::ifstream{file.path()}.rdbuf();
+            return text.str().find("out " + id + "\n") != std::string::npos;
+        }
+        return false;
+    };
+    CHECK(call(world.io, at, "OFFLINE s-a").starts_with("ACK") && kept("s-a"));
+    for (const Fault fault : {Fault::file_full, Fault::file_sync, Fault::file_rename}) {
+        world.faults.set_chance(fault, lab::kFaultParts);
+        CHECK(call(world.io, at, "OFFLINE s-a").starts_with("ACK"));
+        CHECK(call(world.io, at, "OFFLINE s-p").starts_with("NAK") && !kept("s-p") && kept("s-a"));
+        world.faults.clear_chances();
+        run_until(world.io, [&] { return kept("s-p") && kept("s-a"); });
+        CHECK(call(world.io, at, "ONLINE s-p").starts_with("ACK") && !kept("s-p"));
+    }
+    // A process that can't read them at its start for a moment knows them soon.
+    CHECK(::kill(world.program.pid(), SIGKILL) == 0 && ::waitpid(world.program.pid(), nullptr, 0) > 0);
+    world.faults.fail_next(Fault::file_read, 4);
+    const pid_t second = world.program.start(text_of(at));
+    run_until(world.io, [&] { return world.program.listens(); });
+    run_until(world.io, [&] { return call(world.io, at, "DUMP").find("hosts_down=1") != std::string::npos; });
+    CHECK(::kill(second, SIGKILL) == 0 && ::waitpid(second, nullptr, 0) == second);
+}
+
 struct Scenario {
     const char* name;
     void (*run)();
@@ -271,6 +303,7 @@
                                    {"left_while_stopped", left_while_stopped},
                                    {"deadline_after_stop", deadline_after_stop},
                                    {"deadline_of_a_pipelined_request", deadline_of_a_pipelined_request},
+                                   {"bans_on_a_failing_disk", bans_on_a_failing_disk},
                                    {"local_connect_errors", local_connect_errors}};
 
 }  // namespace
