--- a/tests/silverrail/endings_test.cpp
+++ b/tests/silverrail/endings_test.cpp
@@ -455,6 +455,38 @@
     run_until(io, [&] { return router.server.connections() == 0; });
 }
 
+// The process is told to end while requests stand behind an open one, in the buffer or still in the socket:
+// they came before the connection's end was said, and each has its answer.
+void stopped_with_requests_behind() {
+    for (const std::size_t length : {std::size_t{9}, std::size_t{40'000}})
+        for (const bool retires_first : {false, true}) {
+            asio::io_context io;
+            Box box{io};
+            Router router{io};
+            router.list_with_sources({listed("s-a", box.address())});
+            box.act = Box::Act::stay_silent;
+            Request behind = ask("lodge", kObject);
+            behind.body() = std::string(length, 'w');
+            RawClient client{
+                io, router.server.local(),
+                text_of(ask("pages", kObject)) + text_of(behind) + text_of(ask("pages", "00000000000000aa"))};
+            run_until(io, [&] { return box.seen.size() == 1; });
+            run_until(io, [&] { return io.poll() == 0; });
+            if (retires_first) router.server.retire();
+            router.server.stop();
+            box.act = Box::Act::answer;
+            box.reset_all();  // the first one's attempt ends, and the next is answered
+            run_until(io, [&] { return client.ended; });
+            std::size_t answers = 0;
+            for (auto at = client.heard.find("HTTP/1.1 "); at != std::string::npos;
+                 at = client.heard.find("HTTP/1.1 ", at + 1))
+                ++answers;
+            CHECK(answers == 3 && client.clean);
+            CHECK(box.seen.back().request.target().find("aa") != net::beast::string_view::npos);
+            run_until(io, [&] { return router.server.done(); });
+        }
+}
+
 // The machine has accepted a connection for us, and in the same turn of the loop the listener is stopped: it
 // is taken all the same, as the request on it is ours. `turns`: handlers that run before the one that stops,
 // so that it comes before, between and after the system's word on the connection and the handler for that.
@@ -490,6 +522,7 @@
     a_request_in_the_last_instant();
     slow_requests_end_cleanly();
     early_bytes_wait_for_their_turn();
+    stopped_with_requests_behind();
     the_end_owes_nothing();
     slow_readers();
     std::puts("endings: nothing that is owed is lost");
