--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -212,12 +212,15 @@
     return ::poll(&ended, 1, 0) > 0 && (ended.revents & (POLLRDHUP | POLLERR | POLLHUP)) != 0;
 }
 
+bool HttpSession::more_waits() { return buffer_.size() > 0 || peek(socket_) > 0; }
+
 void HttpSession::respond(HttpResponse response) {
     if (state_ == State::writing) ++server_.counters_.second_answers;
     if (state_ != State::open) return;
     state_ = State::writing;
     gone_ = nullptr;
-    response.keep_alive(keep_alive_ && !server_.retiring_);
+    // Retiring, the end is said with the last answer that is owed here.
+    response.keep_alive(keep_alive_ && (!server_.retiring_ || more_waits()));
     keep_alive_ = response.keep_alive();
     response.prepare_payload();
     response_.emplace(std::move(response));
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -110,6 +110,7 @@
     void write_some();
     void written();
     bool nothing_came();
+    bool more_waits();  // behind the open request
     void read_what_came(core::Time since);
     std::size_t came();
     void watch();
