Let purges age by what stamps from elsewhere prove, not by a clock that may be ahead

Change: a purge is as old as stamps from elsewhere prove (UnixTime::proven_age), and at least as old as its telling, at each first byte; the module is told that age for news. Before the first stamp a purge counts from its telling, which is stricter. core_test's check of 200 ms is preceded by a stamp now, as without one the age is counted from the telling (80 ms); known purges with a clock 1 s, 30 s and an hour ahead are new cases.

--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -42,7 +42,7 @@
       admit_(most_open),
       hold_(settings_, purges_, counters_),
       route_(weighted(settings_), seed),
-      send_(fleet_, purges_),
+      send_(fleet_, purges_, unix_time_),
       relay_(counters_),
       book_(counters_),
       guard_(settings_) {
@@ -243,13 +243,13 @@
     const Time now = clock_.now();
     (void)unix_time(now);
     unix_time_.passed(now, purge.issued_ms, UnixTime::Source::trusted);
+    // Guards rule 5 (no purged copy): what is told as news is as old as can be proven. Of what was known at
+    // the start most is long past, by this clock; the check at the first byte goes by what is proven there,
+    // too.
     Span age = unix_time_.least_age(now, purge.issued_ms);
-    // Guards rule 5 (no purged copy): one that can't be so old counts from its telling.
-    if (age > oldest) {
-        ++counters_.clock_doubts;
-        age = {};
-    }
-    purges_.add(purge, now - age, now);
+    if (age > oldest) ++counters_.clock_doubts;
+    if (oldest < Span::max()) age = unix_time_.proven_age(now, purge.issued_ms);
+    purges_.add(purge, now);
     hold_.purge(purge);
     origin_.purge = &purge;
     tell(winchflow::Purge{purge.object, purge.group, age});
--- a/src/core/purges.cpp
+++ b/src/core/purges.cpp
@@ -10,13 +10,13 @@
 
 void Purges::Known::renew(const Known& other) {
     issued_ms = std::max(issued_ms, other.issued_ms);
-    at = std::max(at, other.at);
+    told = std::max(told, other.told);
 }
 
-void Purges::add(const PurgeNotice& purge, Time at, Time now) {
+void Purges::add(const PurgeNotice& purge, Time now) {
     forget(now);
     Known& known = purge.object ? objects_[*purge.object] : groups_[purge.group];
-    known.renew({purge.issued_ms, at});
+    known.renew({purge.issued_ms, now});
 }
 
 std::optional<Purges::Known> Purges::latest(const Call& call) const {
@@ -36,21 +36,23 @@
 
 std::optional<std::int64_t> Purges::issued(const Call& call, Time now) const {
     const auto known = latest(call);
-    if (!known || known->at + kept_for_ < now) return std::nullopt;
+    if (!known || known->told + kept_for_ < now) return std::nullopt;
     return known->issued_ms;
 }
 
-std::optional<Span> Purges::bound(const Call& call, Time now) const {
+std::optional<Span> Purges::bound(const Call& call, Time now, const UnixTime& unix_time) const {
     const auto known = latest(call);
-    if (!known || known->at + cleared_after_ < now) return std::nullopt;
+    if (!known) return std::nullopt;
+    const Span age = std::max(now - known->told, unix_time.proven_age(now, known->issued_ms));
+    if (age > cleared_after_) return std::nullopt;
     // Never 0, which would mean the class's fresh time.
-    return std::max<Span>(std::chrono::milliseconds{1}, now - known->at);
+    return std::max<Span>(std::chrono::milliseconds{1}, age);
 }
 
 void Purges::forget(Time now) {
     if (now < swept_ + kBetweenSweeps) return;
     swept_ = now;
-    const auto old = [&](const auto& entry) { return entry.second.at + kept_for_ < now; };
+    const auto old = [&](const auto& entry) { return entry.second.told + kept_for_ < now; };
     std::erase_if(objects_, old);
     std::erase_if(groups_, old);
 }
--- a/src/core/send.cpp
+++ b/src/core/send.cpp
@@ -29,7 +29,7 @@
 
 Span Send::oldest(const Order& order, Time now, bool& tightened) const {
     // Guards rule 5 (purges): one told during the wait binds by the time of the first byte.
-    const auto bound = purges_.bound(*order.call, now);
+    const auto bound = purges_.bound(*order.call, now, unix_time_);
     tightened = bound && (order.oldest == Span{} || *bound < order.oldest);
     return tightened ? *bound : order.oldest;
 }
@@ -41,7 +41,7 @@
     if (order.oldest != Span{} || order.held_only || !order.source) return std::nullopt;
     const Box* source = fleet_.find(*order.source);
     if (!source || (!parent_kind.empty() && source->entry.kind != parent_kind)) return std::nullopt;
-    if (purges_.bound(*order.call, now)) return std::nullopt;  // also where its group is not told
+    if (purges_.bound(*order.call, now, unix_time_)) return std::nullopt;  // also where its group is not told
     const Box* box = fleet_.find(order.target);
     if (!box || !fleet_.may_be_named(order.target)) return std::nullopt;
     return box->address;
--- a/src/core/send.h
+++ b/src/core/send.h
@@ -9,7 +9,8 @@
 
 class Send {
 public:
-    Send(const Fleet& fleet, const Purges& purges) : fleet_(fleet), purges_(purges) {}
+    Send(const Fleet& fleet, const Purges& purges, const UnixTime& unix_time)
+        : fleet_(fleet), purges_(purges), unix_time_(unix_time) {}
     // Absent: the box is not known, nothing may be sent.
     std::optional<Order> order(const winchflow::Send& send, const OpenCall& open, std::uint32_t attempt,
                                Time now) const;
@@ -23,6 +24,7 @@
 private:
     const Fleet& fleet_;
     const Purges& purges_;
+    const UnixTime& unix_time_;
 };
 
 }  // namespace silverrail::core
--- a/src/core/unix_time.cpp
+++ b/src/core/unix_time.cpp
@@ -20,7 +20,7 @@
 void UnixTime::read(Time now, std::int64_t unix_ms) {
     const std::int64_t offset = unix_ms - milliseconds_of(now);
     if (!offsets_) {
-        offsets_ = Offsets{offset, offset, offset, offset};
+        offsets_ = Offsets{.last = offset, .earliest = offset, .shown = offset, .latest = offset};
         return;
     }
     const std::int64_t change = offset - offsets_->last;
@@ -42,7 +42,9 @@
     if (!offsets_) return;
     const std::int64_t at_least = stamp_ms - milliseconds_of(now);
     if (source == Source::trusted) offsets_->shown = std::max(offsets_->shown, at_least);
-    offsets_->earliest = std::max(offsets_->earliest, std::min(at_least, offsets_->shown));
+    const std::int64_t believed = std::min(at_least, offsets_->shown);
+    offsets_->earliest = std::max(offsets_->earliest, believed);
+    offsets_->proven = std::max(offsets_->proven.value_or(believed), believed);
     if (at_least < offsets_->shown + kLargestStepMs) offsets_->latest = std::max(offsets_->latest, at_least);
     offsets_->latest = std::max(offsets_->latest, offsets_->shown);
 }
@@ -53,6 +55,12 @@
     return std::chrono::milliseconds{std::max<std::int64_t>(0, age_ms)};
 }
 
+Span UnixTime::proven_age(Time now, std::int64_t stamp_ms) const {
+    if (!offsets_ || !offsets_->proven) return {};
+    const std::int64_t age_ms = *offsets_->proven + milliseconds_of(now) - stamp_ms;
+    return std::chrono::milliseconds{std::max<std::int64_t>(0, age_ms)};
+}
+
 std::int64_t UnixTime::latest_ms(Time now) const {
     return offsets_ ? offsets_->latest + milliseconds_of(now) : 0;
 }
--- a/src/core/unix_time.h
+++ b/src/core/unix_time.h
@@ -25,9 +25,12 @@
     enum class Source { trusted, any };
     void passed(Time now, std::int64_t stamp_ms, Source source);
 
-    // How long ago a stamp was made at least, never less than nothing. Before the first reading every stamp
-    // is of this moment.
+    // How long ago a stamp was made by this clock, by the earliest that it has shown; never less than
+    // nothing. Before the first reading every stamp is of this moment.
     Span least_age(Time now, std::int64_t stamp_ms) const;
+    // The same by stamps from elsewhere alone, whatever this clock has shown: nothing before the first of
+    // them.
+    Span proven_age(Time now, std::int64_t stamp_ms) const;
     // The latest that the time may be now, in Unix ms: by it nothing counts as younger than it is.
     std::int64_t latest_ms(Time now) const;
 
@@ -36,10 +39,11 @@
 private:
     // Unix time less steady time, in ms.
     struct Offsets {
-        std::int64_t last = 0;      // by the last reading
-        std::int64_t earliest = 0;  // by any that may be right
-        std::int64_t shown = 0;     // the latest by this clock, or by a trusted stamp
-        std::int64_t latest = 0;    // by any stamp
+        std::int64_t last = 0;                 // by the last reading
+        std::int64_t earliest = 0;             // by any that may be right
+        std::optional<std::int64_t> proven{};  // no later than this, by stamps that have passed
+        std::int64_t shown = 0;                // the latest by this clock, or by a trusted stamp
+        std::int64_t latest = 0;               // by any stamp
     };
     std::optional<Offsets> offsets_;
     std::uint64_t steps_ = 0;
--- a/src/lab/soak/oracle.cpp
+++ b/src/lab/soak/oracle.cpp
@@ -81,9 +81,9 @@
         const auto told = purge.told.find(request.router);
         if (purge.lot != request.lot || told == purge.told.end() || made >= purge.issued_ms) continue;
         if (request.written < told->second + terms::kHeedWithin + kRuleSlack + slack()) continue;
-        violation(Rule::purged, id + ": a copy " + std::to_string(purge.issued_ms - made) +
-                                    " ms older than a purge told " + in_ms(request.written - told->second) +
-                                    " before");
+        violation(Rule::purged, "router " + std::to_string(request.router) + ", " + id + ": a copy " +
+                                    std::to_string(purge.issued_ms - made) + " ms older than a purge told " +
+                                    in_ms(request.written - told->second) + " before");
     }
 }
 
--- a/src/lab/soak/soak.cpp
+++ b/src/lab/soak/soak.cpp
@@ -87,6 +87,7 @@
     Task<> begin(std::size_t router, Millis within) {
         ready_.resize(routers_.count());
         configure(router);
+        discovery_.known_told(router);  // it can know that from here on
         routers_.start(router);
         const Moment started = Clock::now();
         const auto generation = routers_.generation(router);
@@ -100,7 +101,6 @@
             if (!ready) co_await pause(20ms);
         }
         if (!ready || routers_.generation(router) != generation) co_return;
-        discovery_.known_told(router);
         ready_[router] = true;
         standing(router).generation = generation;
         standing(router).connections = standing(router).requests = true;
--- a/tests/silverrail/core_test.cpp
+++ b/tests/silverrail/core_test.cpp
@@ -211,6 +211,8 @@
         Bench b;
         (void)b.ask();
         const auto key = b.sender.out.at(0).key;
+        // A stamp of this moment from elsewhere: without one a purge counts from its telling.
+        b.engine.apply(PurgeNotice{{}, winchflow::GroupId{99}, b.clock.unix_ms()});
         b.engine.apply(PurgeNotice{{}, winchflow::GroupId{17}, b.clock.unix_ms() - 120});
         b.timers.pass(80ms);
         CHECK(b.sender.events->before_first_byte(key) == Span{200ms});
@@ -285,7 +287,24 @@
         purge(b, 150ms);
         CHECK(asked_for(b) == Span{150ms});
     }
-    // Ahead from its start, which nothing here can see but by when discovery was last heard.
+    // Ahead from its start: what is known then counts from its telling, until stamps prove more.
+    for (const Span ahead : {Span{1s}, Span{30s}, Span{1h}}) {
+        Bench b;
+        b.clock.step = ahead;
+        purge(b, 500ms);
+        b.timers.pass(300ms);
+        CHECK(asked_for(b) == Span{300ms});
+        b.sender.end(0, {.ending = Ending::good, .body = "b", .tag = "t", .made_ms = b.clock.true_unix_ms()});
+        CHECK(asked_for(b) == Span{800ms});
+    }
+    {
+        Bench b;  // cleared everywhere by itself, and forgotten
+        b.clock.step = 1s;
+        purge(b, 500ms);
+        b.timers.pass(7'200ms);
+        CHECK(asked_for(b) == Span{});
+    }
+    // The same of news, and of starts, which nothing shows but when discovery was last heard.
     Bench ahead;
     ahead.clock.step = 1h;
     purge(ahead, 200ms, 10s);
