--- a/src/core/unix_time.cpp
+++ b/src/core/unix_time.cpp
@@ -10,6 +10,8 @@
 // Between two readings: more than this is a step, less is the clock being slewed or the readings' own
 // distance.
 constexpr std::int64_t kStepMs = 50;
+// The stamp that proves a clock to be behind was on its way, or kept, for about so long itself.
+constexpr std::int64_t kStampLateMs = 1'000;
 // Clocks are stepped by an hour at most; a stamp that is further ahead is spoilt.
 constexpr std::int64_t kLargestStepMs = 2 * 3'600'000;
 
@@ -62,7 +64,9 @@
 }
 
 std::int64_t UnixTime::latest_ms(Time now) const {
-    return offsets_ ? offsets_->latest + milliseconds_of(now) : 0;
+    if (!offsets_) return 0;
+    const bool proven_behind = offsets_->latest > offsets_->shown + kStepMs;
+    return offsets_->latest + milliseconds_of(now) + (proven_behind ? kStampLateMs : 0);
 }
 
 }  // namespace silverrail::core
