Let the client of left_while_stopped outlive what it waits for

AddressSanitizer: the test's client ended before its read's handler. It lives to the end of the case now. open and open64 of the fault library share what they may fail with.

--- a/src/lab/faults/preload.cpp
+++ b/src/lab/faults/preload.cpp
@@ -104,6 +104,12 @@
     return 0;
 }
 
+// The same for opening a file.
+int open_error(int flags) {
+    if (fails(Fault::file_open)) return EMFILE;
+    return (flags & O_CREAT) != 0 && fails(Fault::file_full) ? ENOSPC : 0;
+}
+
 bool reads_short(int fd) { return control() && is_stream_socket(fd) && fails(Fault::read_short); }
 bool writes_short(int fd) { return control() && is_stream_socket(fd) && fails(Fault::write_short); }
 std::size_t part_of(std::size_t whole) { return std::max<std::size_t>(1, whole / 3); }
@@ -243,9 +249,8 @@
     va_start(more, flags);
     const int mode = (flags & O_CREAT) != 0 ? va_arg(more, int) : 0;
     va_end(more);
-    if (fails(Fault::file_open)) return failed<int>(EMFILE);
-    if ((flags & O_CREAT) != 0 && fails(Fault::file_full)) return failed<int>(ENOSPC);
-    return NEXT(open)(path, flags, mode);
+    const int error = open_error(flags);
+    return error ? failed<int>(error) : NEXT(open)(path, flags, mode);
 }
 
 int open64(const char* path, int flags, ...) {
@@ -253,9 +258,8 @@
     va_start(more, flags);
     const int mode = (flags & O_CREAT) != 0 ? va_arg(more, int) : 0;
     va_end(more);
-    if (fails(Fault::file_open)) return failed<int>(EMFILE);
-    if ((flags & O_CREAT) != 0 && fails(Fault::file_full)) return failed<int>(ENOSPC);
-    return NEXT(open64)(path, flags, mode);
+    const int error = open_error(flags);
+    return error ? failed<int>(error) : NEXT(open64)(path, flags, mode);
 }
 
 FILE* fopen(const char* path, const char* mode) {
--- a/tests/silverrail/faults_test.cpp
+++ b/tests/silverrail/faults_test.cpp
@@ -201,14 +201,15 @@
             World world;
             Client waits{world.io, world.program.at};  // a connection that is open already
             const Request request = ask("pages", kObject, 1500);
+            std::optional<RawClient> leaves;
             {
                 const Stopped stopped{world};
-                RawClient leaves{world.io, world.program.at};
-                leaves.say(text_of_request(request) + (early_bytes ? "GET /early" : ""));
+                leaves.emplace(world.io, world.program.at);
+                leaves->say(text_of_request(request) + (early_bytes ? "GET /early" : ""));
                 if (resets)
-                    leaves.reset();
+                    leaves->reset();
                 else
-                    leaves.half_close();
+                    leaves->half_close();
                 world.wait(200ms);
             }
             CHECK(world.status_within(ask("pages", "00000000000000aa", 1500), 2000ms) == 200);
