--- a/src/app/bans_part.cpp
+++ b/src/app/bans_part.cpp
@@ -92,16 +92,16 @@
 front::admin::Verdict BansPart::out(const core::CacheId& box) {
     if (!known(box)) return {false, "no such box"};
     members::Bans own = engine_.bans();
-    // Out and kept already: nothing needs writing.
-    const bool kept = !file_ || !unwritten_.contains(box);
-    const bool shared = !fleet_ || fleet_->in_force(kKey + box.address);
-    if (own.contains(box) && kept && shared) return {true, "out"};
+    const bool kept = own.contains(box) && !unwritten_.contains(box);
     if (!own.add(box)) return {false, "too many are out"};
     engine_.set_bans(own);
     log_.line("box-out", "%s by hand, %zu are out", box.address.c_str(), own.ids().size());
     if (fleet_ && !fleet_->set(kKey + box.address, {}))
         return {false, "out here, but not kept for the fleet"};
     if (!file_) return {true, fleet_ ? "out" : "out, in this process only"};
+    // Nothing needs writing. The fleet was told all the same: said again, it stands against a call back
+    // elsewhere.
+    if (kept) return {true, "out"};
     try {
         engine_.set_bans(file_->change(own, [&](members::Bans& bans) { bans.add(box); }));
         unwritten_.erase(box);
--- a/src/lab/soak/async.h
+++ b/src/lab/soak/async.h
@@ -1,6 +1,8 @@
 // Coroutines on Asio as the soak writes them: errors come back in a variable, never as exceptions.
 #pragma once
 
+#include <memory>
+
 #include "net/asio.h"
 
 namespace silverrail::lab::soak {
@@ -38,6 +40,32 @@
     acceptor.listen(64);
 }
 
+// Closes a socket at a time, unless this has gone before.
+class CloseAt {
+public:
+    CloseAt(tcp::socket& socket, std::chrono::steady_clock::time_point at)
+        : timer_(socket.get_executor(), at), state_(std::make_shared<State>()) {
+        timer_.async_wait([&socket, state = state_](const error_code& error) {
+            if (error || state->over) return;
+            state->closed = true;
+            error_code ignored;
+            socket.close(ignored);
+        });
+    }
+    ~CloseAt() { state_->over = true; }
+    CloseAt(const CloseAt&) = delete;
+    CloseAt& operator=(const CloseAt&) = delete;
+    bool closed() const { return state_->closed; }
+
+private:
+    struct State {
+        bool over = false;
+        bool closed = false;
+    };
+    asio::steady_timer timer_;
+    std::shared_ptr<State> state_;
+};
+
 // Ends a connection as a dying process does.
 inline void reset(tcp::socket& socket) {
     error_code ignored;
--- a/src/lab/soak/clients.cpp
+++ b/src/lab/soak/clients.cpp
@@ -15,9 +15,8 @@
 }  // namespace
 
 struct Clients::Connection {
-    Connection(asio::io_context& io, std::size_t of) : socket(io), limit(io), router(of) {}
+    Connection(asio::io_context& io, std::size_t of) : socket(io), router(of) {}
     tcp::socket socket;
-    asio::steady_timer limit;
     beast::flat_buffer buffer{};
     std::size_t router;
     std::uint64_t generation = 0;  // of the process that it was made to
@@ -63,14 +62,9 @@
 Task<bool> Clients::connect(Connection& connection) {
     const Standing& standing = standings_[connection.router];
     connection.generation = standing.generation;
-    connection.limit.expires_after(3s);
-    connection.limit.async_wait([&socket = connection.socket](const error_code& error) {
-        error_code ignored;
-        if (!error) socket.close(ignored);
-    });
+    const CloseAt limit{connection.socket, Clock::now() + 3s};
     error_code error;
     co_await connection.socket.async_connect(standing.at, into(error));
-    connection.limit.cancel();
     if (error) connection.socket.close(error);
     co_return connection.socket.is_open();
 }
@@ -158,21 +152,13 @@
 
 // True: answered, and the connection goes on.
 Task<bool> Clients::receive(Connection& connection, const Sent& sent) {
-    connection.limit.expires_at(oracle_.find(sent.id)->answer_due() + kGivenUp);
-    bool given_up = false;
-    connection.limit.async_wait([&given_up, &socket = connection.socket](const error_code& error) {
-        if (error) return;
-        given_up = true;
-        error_code ignored;
-        socket.close(ignored);
-    });
+    const CloseAt limit{connection.socket, oracle_.find(sent.id)->answer_due() + kGivenUp};
     error_code error;
     http::response_parser<http::string_body> parser;
     parser.body_limit(1 << 20);
     co_await http::async_read(connection.socket, connection.buffer, parser, into(error));
-    connection.limit.cancel();
     if (error) {
-        lost(connection, sent, !given_up);
+        lost(connection, sent, !limit.closed());
         error_code ignored;
         connection.socket.close(ignored);
         co_return false;
--- a/src/lab/soak/servers.cpp
+++ b/src/lab/soak/servers.cpp
@@ -223,8 +223,9 @@
     const std::int64_t oldest = told > 0 ? told : terms::kMaxAge.count();
     const auto copy = s.copies.find(exchange.path);
     if (copy != s.copies.end() && unix_ms() - copy->second <= oldest) {
+        const std::int64_t kept_made = copy->second;  // its process may end meanwhile
         co_await pause(Millis{1 + draw(5)});
-        co_return good(exchange.path, copy->second, "hit");
+        co_return good(exchange.path, kept_made, "hit");
     }
     if (!has_source) {
         Response response{http::status::not_found, 11};
--- a/src/lab/soak/soak.cpp
+++ b/src/lab/soak/soak.cpp
@@ -108,11 +108,7 @@
 
     Task<bool> answers_alive(std::size_t router) {
         tcp::socket socket{io_};
-        asio::steady_timer limit{io_, 1s};
-        limit.async_wait([&socket](const error_code& error) {
-            error_code ignored;
-            if (!error) socket.close(ignored);
-        });
+        const CloseAt limit{socket, Clock::now() + 1s};
         error_code error;
         co_await socket.async_connect(standing(router).at, into(error));
         http::request<http::empty_body> request{http::verb::get, "/alive", 11};
