--- a/src/core/guard.h
+++ b/src/core/guard.h
@@ -10,7 +10,6 @@
 #include <optional>
 #include <string>
 #include <string_view>
-#include <vector>
 
 #include "core/types.h"
 
--- a/src/core/unix_time.cpp
+++ b/src/core/unix_time.cpp
@@ -17,6 +17,11 @@
 
 std::int64_t milliseconds_of(Time now) { return now.time_since_epoch() / std::chrono::milliseconds{1}; }
 
+// Where Unix time is so far ahead of steady time; never less than nothing.
+Span age(Time now, std::int64_t stamp_ms, std::int64_t offset_ms) {
+    return std::chrono::milliseconds{std::max<std::int64_t>(0, offset_ms + milliseconds_of(now) - stamp_ms)};
+}
+
 }  // namespace
 
 void UnixTime::read(Time now, std::int64_t unix_ms) {
@@ -52,15 +57,11 @@
 }
 
 Span UnixTime::least_age(Time now, std::int64_t stamp_ms) const {
-    if (!offsets_) return {};
-    const std::int64_t age_ms = offsets_->earliest + milliseconds_of(now) - stamp_ms;
-    return std::chrono::milliseconds{std::max<std::int64_t>(0, age_ms)};
+    return offsets_ ? age(now, stamp_ms, offsets_->earliest) : Span{};
 }
 
 Span UnixTime::proven_age(Time now, std::int64_t stamp_ms) const {
-    if (!offsets_ || !offsets_->proven) return {};
-    const std::int64_t age_ms = *offsets_->proven + milliseconds_of(now) - stamp_ms;
-    return std::chrono::milliseconds{std::max<std::int64_t>(0, age_ms)};
+    return offsets_ && offsets_->proven ? age(now, stamp_ms, *offsets_->proven) : Span{};
 }
 
 std::int64_t UnixTime::latest_ms(Time now) const {
--- a/src/lab/soak/oracle.h
+++ b/src/lab/soak/oracle.h
@@ -126,7 +126,6 @@
     const std::vector<Violation>& violations() const { return violations_; }
     std::size_t requests() const { return requests_.size(); }
     std::map<std::string, std::size_t> outcomes() const { return outcomes_; }
-    Moment began() const { return began_; }
 
 private:
     struct Cold {
@@ -138,7 +137,6 @@
     void check_cold(std::size_t router, std::size_t server, Moment at);
     void check_copy(const std::string& id, const Request& request, std::string_view body);
 
-    Moment began_ = Clock::now();
     Millis lag_{};
     std::unordered_map<std::string, Request> requests_;
     std::vector<std::map<std::size_t, Moment>> drains_;  // by router: server, when it was told
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -255,7 +255,6 @@
     const auto pause = kFirstPause * (1 << attempt->opens_again);
     const bool in_time = clock_.now() + pause < attempt->order.give_up;
     if (++attempt->opens_again > kOpensAgain || !in_time) return end(attempt, {.ending = ending});
-    ++opened_again_;
     attempt->link->close();
     attempt->link = nullptr;
     attempt->limit.expires_after(pause);
--- a/src/net/upstream.h
+++ b/src/net/upstream.h
@@ -46,7 +46,6 @@
     void shed(std::size_t count);
     std::size_t sockets() const { return *open_; }
     std::size_t boxes() const { return boxes_.size(); }
-    std::uint64_t opened_again() const { return opened_again_; }  // connections, after local trouble
 
 private:
     struct Link;
@@ -82,7 +81,6 @@
     std::map<core::AttemptKey, std::shared_ptr<Attempt>> attempts_;
     std::deque<std::shared_ptr<Attempt>> waiting_;
     std::shared_ptr<std::size_t> open_ = std::make_shared<std::size_t>(0);  // sockets, counted by Link
-    std::uint64_t opened_again_ = 0;
     bool down_ = false;
 };
 
