Review: an endless chunk extension of one client is the first case now

Cause: the server's read buffer has no largest size, and the parser's limits do not count chunk extensions and trailers.

--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -1,186 +1,138 @@
-// Keyed requests whose first attempt ran and was answered with an error, while a part of their zone's
-// requests is sent to another zone: none may run twice.
+// One bad client sends a message that never ends: the extension of a chunk. The router must stay under
+// `memory_mb`, and answer what usual clients have sent.
 #include "../common/harness.h"
 
 using namespace review;
 
 namespace {
 
-constexpr int kServersPerZone = 4;
-constexpr int kTakenOut = 2;  // of the first zone's servers, by an operator
-constexpr int kRequests = 300;
-constexpr int kErrorEach = 10;  // one request in so many gets an error after it has run
-constexpr std::int64_t kRequestIntervalMs = 40;
-constexpr std::int64_t kSettleMs = 4000;
-constexpr std::int64_t kDecisionMs = 8000;
+constexpr int kMemoryMb = 192;  // the most that the pages give
+constexpr int kSockets = 1024;
+constexpr int kUsualClients = 20;
+constexpr std::int64_t kServerMs = 300;  // a server's time for an answer
+constexpr std::int64_t kTroubleMs = 4000;
+constexpr std::size_t kBlockBytes = 65'536;
+constexpr long kKbPerMb = 1024;
 
-struct Arrival {
-    std::string zone;
-    std::string server;
-    bool ran = false;
+std::string answer(const ServerRequest& request) {
+    sleep_ms(kServerMs);
+    return server_answer("200 OK", "Tag: t1\r\nMade-At: " + std::to_string(unix_ms()) + "\r\nDetail: hit\r\n",
+                         request.path);
+}
+
+struct Results {
+    std::atomic<bool> done{false};
+    std::atomic<int> served{0};
+    std::atomic<int> other{0};
+    std::atomic<int> unanswered{0};
 };
 
-// The servers of a zone tell each other which keys they have run: `"effect":"token","group":"zone"`. A repeat
-// of a key that the zone has run is answered and not run again.
-class Zones {
-public:
-    std::string answer(const std::string& zone, const std::string& server, const ServerRequest& request) {
-        const std::string key = request.message.header("call-once");
-        const std::lock_guard lock{mutex_};
-        std::vector<Arrival>& arrivals = arrivals_[key];
-        const bool repeat = std::any_of(arrivals.begin(), arrivals.end(),
-                                        [&](const Arrival& earlier) { return earlier.zone == zone; });
-        const bool fails = arrivals.empty() && std::stoi(key) % kErrorEach == 0;
-        arrivals.push_back({zone, server, !repeat});
-        record.line("%s: key %s call %s %s, %s", server.c_str(), key.c_str(), request.call_id.c_str(),
-                    repeat ? "is known in this zone, not run" : "RUNS", fails ? "answer 500" : "answer 200");
-        errors_ += fails ? 1 : 0;
-        if (fails)
-            return server_answer("500 Internal Server Error", "", "");
-        return server_answer("200 OK", "Tag: t1\r\nMade-At: " + std::to_string(unix_ms()) + "\r\n", "booked");
-    }
-    int errors() const {
-        return errors_;
-    }
-    int retried() const {
-        return count([](const std::vector<Arrival>& arrivals) { return arrivals.size() > 1; });
-    }
-    int ran_twice() const {
-        return count([](const std::vector<Arrival>& arrivals) {
-            return std::count_if(arrivals.begin(), arrivals.end(), [](const Arrival& a) { return a.ran; }) >
-                   1;
-        });
+// Asks again and again, each time on a new connection, until the router refuses connections.
+void be_usual_client(const std::string& router, int number, Results& results) {
+    for (int i = 0; !results.done; ++i) {
+        ClientRequest request;
+        request.class_name = "bulk-files";
+        request.object = object_id(0x1000 * (number + 1) + i);
+        const int fd = connect_to(router);
+        if (fd < 0)
+            return;
+        std::string rest;
+        const bool sent = send_all(fd, request.text());
+        const Message got = sent ? read_message(fd, rest) : Message{};
+        ::close(fd);
+        if (got.complete)
+            ++(got.status() == 200 ? results.served : results.other);
+        else if (sent)
+            ++results.unanswered;
+        if (!got.complete)
+            record.line("client %s: %s", request.id.c_str(), sent ? "sent, NO ANSWER" : "not sent");
     }
+}
 
-private:
-    template <class Test>
-    int count(Test test) const {
-        const std::lock_guard lock{mutex_};
-        return static_cast<int>(std::count_if(arrivals_.begin(), arrivals_.end(),
-                                              [&test](const auto& entry) { return test(entry.second); }));
+// Returns the number of bytes that it could send.
+std::size_t be_bad_client(const std::string& router, const std::atomic<bool>& stop) {
+    const int fd = connect_to(router);
+    if (fd < 0)
+        could_not_run("the bad client cannot connect");
+    ClientRequest request;
+    request.method = "PUT";
+    request.class_name = "pay-run-lodge";
+    request.object = object_id(0x99);
+    request.headers = "Transfer-Encoding: chunked\r\n";
+    std::string head = request.text();
+    head.erase(head.find("Content-Length: 0\r\n"), std::strlen("Content-Length: 0\r\n"));
+    if (!with_trouble()) {
+        std::string rest;
+        send_all(fd, head + "5;note=short\r\nhours\r\n0\r\n\r\n");
+        record.line("the client's message with a short extension: answer %d",
+                    read_message(fd, rest).status());
+        ::close(fd);
+        return 0;
     }
-    mutable std::mutex mutex_;
-    std::map<std::string, std::vector<Arrival>> arrivals_;  // by key
-    int errors_ = 0;
-};
-
-std::string peers_settings(const std::string& name, const std::string& zone, const std::string& bind,
-                           const std::string& seed) {
-    return R"({"peers":{"name":")" + name + R"(","zone":")" + zone + R"(","region":"qld","bind":")" + bind +
-           R"(","seeds":[")" + seed + R"("],"failover":{"zones":[{"name":"edge-1","region":"qld","routers":1},
-{"name":"edge-2","region":"qld","routers":1}]}}})";
+    send_all(fd, head + "5;note=");
+    const std::string block(kBlockBytes, 'x');
+    std::size_t sent = 0;
+    const std::int64_t began = unix_ms();
+    while (!stop && unix_ms() - began < kTroubleMs && send_all(fd, block))
+        sent += block.size();
+    record.line("the bad client could send %zu bytes of an extension in %lld ms", sent,
+                static_cast<long long>(unix_ms() - began));
+    ::close(fd);
+    return sent;
 }
 
-Deployment deployment(const std::string& zone, const std::vector<std::unique_ptr<Server>>& servers) {
+Deployment deployment(const std::vector<std::unique_ptr<Server>>& servers) {
     Deployment out;
-    out.zone = zone;
-    out.zones = {"north", "edge-1", "edge-2"};
+    out.memory_mb = kMemoryMb;
+    out.sockets = kSockets;
     for (const auto& server : servers)
         out.servers.push_back(server->json());
-    out.classes =
-        R"({"name":"portal-pages","aim":250000000,"aim-stretch":2,"give-up":2500000000,"effect":"pure",
-"worth":1},{"name":"timesheets","aim":700000000,"give-up":3000000000,"effect":"token","group":"zone",
-"window":5000000000,"worth":3})";
-    out.per_class = R"("max-age":[8000000000,0],"class-grace":[20000000000,0],"stale-earns":[0.5,0],
-"segmented":[false,false],"uncached":[false,true])";
+    out.classes = R"({"name":"bulk-files","aim":400000000,"aim-stretch":1.6,"give-up":5000000000,
+"effect":"pure","worth":2,"late-worth":0.15},{"name":"pay-run-lodge","aim":700000000,"give-up":3000000000,
+"effect":"side_effect","worth":3})";
+    out.per_class = R"("max-age":[0,0],"class-grace":[0,0],"stale-earns":[0.7,0.7],"segmented":[false,false],
+"uncached":[false,true])";
     return out;
 }
 
-// What part of the zone's requests leaves it, in per cent, as the router says.
-int percent_leaving(const Router& router, const std::string& zone) {
-    std::istringstream lines{command(router.control(), "FAILOVER")};
-    std::string line;
-    while (std::getline(lines, line)) {
-        std::istringstream words{line};
-        std::string name, region, routers, health;
-        int epoch = 0;
-        int leaving = 0;
-        if (words >> name >> region >> routers >> health >> epoch >> leaving && name == zone) {
-            record.line("FAILOVER %s", line.c_str());
-            return leaving;
-        }
-    }
-    return 0;
-}
-
-void take_servers_out(const Router& router) {
-    for (int i = 0; i < kTakenOut; ++i) {
-        const std::string call = "OFFLINE s-edge-1-" + std::to_string(i);
-        const std::string answer = command(router.control(), call);
-        record.line("%s: %s", call.c_str(), answer.c_str());
-        if (!answer.starts_with("ACK"))
-            could_not_run(call + ": " + answer);
-    }
-    for (std::int64_t waited = 0; waited < kDecisionMs; waited += 500) {
-        sleep_ms(500);
-        if (percent_leaving(router, "edge-1") > 0)
-            return;
-    }
-    could_not_run("no part of the zone's requests leaves it");
-}
-
-void send_requests(const Router& router) {
-    std::map<int, int> answers;
-    for (int i = 0; i < kRequests; ++i) {
-        ClientRequest request;
-        request.method = "PUT";
-        request.class_name = "timesheets";
-        request.object = object_id(0x5000 + i);
-        request.body = "hours";
-        request.headers = "Replay-Key: " + std::to_string(1'000'000 + i) + "\r\n";
-        const Message answer = ask(router.address(), request);
-        ++answers[answer.status()];
-        record.line("client %s: key %d, answer %d", request.id.c_str(), 1'000'000 + i, answer.status());
-        sleep_ms(kRequestIntervalMs);
-    }
-    for (const auto& [status, count] : answers)
-        record.line("%d answers %d", count, status);
-}
-
 }  // namespace
 
 int main(int, char** argv) {
     const std::string folder = argv[1];
     record.open(argv[2]);
-    Zones zones;
-    const std::vector<std::string> names{"edge-1", "edge-2"};
+    constexpr int kWeight = 60;
     std::vector<std::unique_ptr<Server>> servers;
-    for (const std::string& zone : names) {
-        for (int i = 0; i < kServersPerZone; ++i) {
-            const std::string id = "s-" + zone + "-" + std::to_string(i);
-            servers.push_back(std::make_unique<Server>(id, zone, "small-box",
-                                                       [&zones, zone, id](const ServerRequest& request) {
-                                                           return zones.answer(zone, id, request);
-                                                       }));
-        }
-    }
-    const auto miss = [](const ServerRequest&) {
-        return server_answer("404 Not Found", "", "");
-    };
-    servers.push_back(std::make_unique<Server>("p-0", "north", "hub", miss));
-    servers.push_back(std::make_unique<Server>("o-0", "north", "store", miss));
-    const std::vector<std::string> peers{free_address(), free_address()};
-    std::vector<std::unique_ptr<Router>> routers;
-    for (std::size_t i = 0; i < names.size(); ++i) {
-        const std::string name = "n" + std::to_string(i);
-        const RouterFiles files{folder, name, free_address(), free_address(),
-                                folder + "/" + name + "-settings.json"};
-        write_file(files.settings, peers_settings(name, names[i], peers[i], peers[1 - i]));
-        write_file(folder + "/" + name + ".json", configuration(files, deployment(names[i], servers)));
-        routers.push_back(std::make_unique<Router>(files));
-    }
-    for (const auto& router : routers)
-        router->wait_until_ready();
-    sleep_ms(kSettleMs);
-    if (with_trouble())
-        take_servers_out(*routers.front());
-    send_requests(*routers.front());
-    const int leaving = percent_leaving(*routers.front(), "edge-1");
+    for (int i = 0; i < 4; ++i)
+        servers.push_back(
+            std::make_unique<Server>("s-" + std::to_string(i), "edge-1", "small-box", answer, kWeight));
+    servers.push_back(std::make_unique<Server>("p-0", "north", "hub", answer, kWeight));
+    servers.push_back(std::make_unique<Server>("o-0", "north", "store", answer, kWeight));
+    const RouterFiles files{folder, "n0", free_address(), "", ""};
+    write_file(folder + "/n0.json", configuration(files, deployment(servers)));
+    Router router{files};
+    router.wait_until_ready();
+    record.line("the router is ready and holds %ld KB; memory_mb is %d", anonymous_kb(router.pid()),
+                kMemoryMb);
+    Results results;
+    MemoryWatch watch{router, kMemoryMb};
+    std::vector<std::thread> clients;
+    for (int i = 0; i < kUsualClients; ++i)
+        clients.emplace_back([&, i] { be_usual_client(files.listen, i, results); });
+    sleep_ms(1000);
+    be_bad_client(files.listen, watch.killed());
+    sleep_ms(500);
+    results.done = true;
+    for (auto& client : clients)
+        client.join();
+    watch.stop();
     record.line(
-        "%d keys got an error after they had run, %d were sent again, %d RAN TWICE; %d%% leave the zone",
-        zones.errors(), zones.retried(), zones.ran_twice(), leaving);
-    if (zones.errors() == 0 || zones.retried() == 0)
-        could_not_run("no request was sent again");
-    record.line(zones.ran_twice() > 0 ? "BROKEN: requests ran twice" : "HELD");
-    return zones.ran_twice() > 0 ? kBroken : kHeld;
+        "most memory %ld KB of %ld; of the usual clients' requests %d served, %d other, %d unanswered",
+        watch.most_kb(), kMemoryMb * kKbPerMb, results.served.load(), results.other.load(),
+        results.unanswered.load());
+    if (results.served == 0)
+        could_not_run("the usual clients got nothing");
+    if (!watch.killed() && router.ended())
+        could_not_run("the router ended for another reason than its memory");
+    record.line(watch.killed() ? "BROKEN: the router was killed for memory" : "HELD");
+    return watch.killed() ? kBroken : kHeld;
 }
--- a/review/common/harness.h
+++ b/review/common/harness.h
@@ -517,6 +517,64 @@
     int wait_status_ = 0;
 };
 
+// Memory that the process alone uses: neither its binary and libraries nor its sockets are counted.
+inline long anonymous_kb(pid_t pid) {
+    std::ifstream file{"/proc/" + std::to_string(pid) + "/status"};
+    std::string word;
+    long kb = 0;
+    while (file >> word) {
+        if (word == "RssAnon:")
+            file >> kb;
+        file.ignore(1000, '\n');
+    }
+    return kb;
+}
+
+// The platform: watches the router's memory, and kills it when it is over the limit.
+class MemoryWatch {
+public:
+    MemoryWatch(const Router& router, int memory_mb)
+        : pid_(router.pid()), limit_kb_(memory_mb * 1024L), thread_([this] { watch(); }) {}
+    ~MemoryWatch() {
+        stop();
+    }
+    MemoryWatch(const MemoryWatch&) = delete;
+    MemoryWatch& operator=(const MemoryWatch&) = delete;
+    void stop() {
+        done_ = true;
+        if (thread_.joinable())
+            thread_.join();
+    }
+    const std::atomic<bool>& killed() const {
+        return killed_;
+    }
+    long most_kb() const {
+        return most_kb_;
+    }
+
+private:
+    void watch() {
+        while (!done_) {
+            const long kb = anonymous_kb(pid_);
+            most_kb_ = std::max(most_kb_, kb);
+            if (kb > limit_kb_) {
+                ::kill(pid_, SIGKILL);
+                killed_ = true;
+                record.line("the router holds %ld KB, over memory_mb (%ld KB): the platform kills it", kb,
+                            limit_kb_);
+                return;
+            }
+            sleep_ms(5);
+        }
+    }
+    const pid_t pid_;
+    const long limit_kb_;
+    std::atomic<bool> done_{false};
+    std::atomic<bool> killed_{false};
+    long most_kb_ = 0;
+    std::thread thread_;
+};
+
 inline void write_file(const std::string& path, const std::string& text) {
     std::ofstream file{path};
     file << text;
