--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -11,7 +11,7 @@
 
 constexpr int kLots = 32;
 constexpr int kPurgedLots = 20;    // 62.5%
-constexpr int kObjectsPerLot = 3;  // that were asked for before
+constexpr int kObjectsPerLot = 4;  // that were asked for before
 constexpr std::int64_t kDownMs = 8000;
 constexpr std::int64_t kPurgeAfterMs = 300;    // from when discovery went down
 constexpr std::int64_t kEventIntervalMs = 50;  // between missed events, told late
