--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -15,6 +15,7 @@
 constexpr long kKbPerMb = 1024;
 
 std::string answer(const ServerRequest& request) {
+    record.line("a server runs call %s, %s", request.call_id.c_str(), request.path.c_str());
     sleep_ms(kServerMs);
     return server_answer("200 OK", "Tag: t1\r\nMade-At: " + std::to_string(unix_ms()) + "\r\nDetail: hit\r\n",
                          request.path);
@@ -44,8 +45,7 @@
             ++(got.status() == 200 ? results.served : results.other);
         else if (sent)
             ++results.unanswered;
-        if (!got.complete)
-            record.line("client %s: %s", request.id.c_str(), sent ? "sent, NO ANSWER" : "not sent");
+        record.line("client %s: %s, answer %d", request.id.c_str(), sent ? "sent" : "not sent", got.status());
     }
 }
 
