--- a/review/common/harness.h
+++ b/review/common/harness.h
@@ -248,16 +248,20 @@
     const std::string& address() const {
         return address_;
     }
-    // Ends all connections; new ones are refused.
+    // Ends all connections and waits until their handlers have returned; new ones are refused.
     void stop() {
         if (fd_ < 0)
             return;
         ::shutdown(fd_, SHUT_RDWR);
         accepting_.join();
         ::close(std::exchange(fd_, -1));
-        const std::lock_guard lock{mutex_};
-        for (const int open : open_)
-            ::shutdown(open, SHUT_RDWR);
+        {
+            const std::lock_guard lock{mutex_};
+            for (const int open : open_)
+                ::shutdown(open, SHUT_RDWR);
+        }
+        while (!has_no_connection())
+            sleep_ms(1);
     }
     // Listens again at the same address.
     void restart() {
@@ -266,6 +270,10 @@
     }
 
 private:
+    bool has_no_connection() {
+        const std::lock_guard lock{mutex_};
+        return open_.empty();
+    }
     void start() {
         accepting_ = std::thread{[this, fd = fd_] {
             while (true) {
@@ -366,6 +374,12 @@
 class Bulletin {
 public:
     Bulletin() : listener_([this](int fd) { serve(fd); }) {}
+    ~Bulletin() {
+        down_ = true;  // ends the handlers
+        listener_.stop();
+    }
+    Bulletin(const Bulletin&) = delete;
+    Bulletin& operator=(const Bulletin&) = delete;
     const std::string& address() const {
         return listener_.address();
     }
