Bound the input buffers of HTTP readers against endless chunk framing

Cause: the parser's limits cover headers and bodies. A chunk's size and extensions and the trailers belong to neither; the parser leaves them in the input buffer until they are complete, and that buffer had no limit. So did those of responses of servers and of the ACME authority.

Evidence: anonymous memory of one idle router while one client sent a part without an end, before: header 36 KB, body 0 KB, chunk size 36,344 KB, extension 52,668 KB, trailer 36,376 KB; a server's chunk size 80,688 KB, trailer 65,420 KB. After: 36, 0, 12, 8, 0, 100 and 4 KB. One run each.

Change: ParseBuffer, an input buffer that always has a limit, in all four readers: 16 KB for clients, 64 KB (one read) elsewhere. What does not fit is malformed: 400 and a close for a client, a failed attempt for a server.

Tests: silverrail_misbehaving_endpoints (a client's and a server's endless chunk size, extension and trailer) failed before at the client's status (408 after the timeout), and with only that fixed at the server's time limit; silverrail_acme_order failed before (the authority could send all 64 MB).

--- a/src/net/discovery_watch.cpp
+++ b/src/net/discovery_watch.cpp
@@ -4,6 +4,7 @@
 #include <array>
 
 #include "config/number.h"
+#include "net/parse_buffer.h"
 #include "net/tcp_stream.h"
 
 namespace silverrail::net {
@@ -25,7 +26,6 @@
 // response header and not from the request, as a slow response would use the time up.
 constexpr std::chrono::milliseconds kCatchUpTime{300};
 
-constexpr std::size_t kReadBufferBytes = 64UL * 1024;
 constexpr std::size_t kChunkBytes = 16UL * 1024;
 constexpr unsigned kHttp11 = 11;
 constexpr const char* kStreamPath = "/bulletins";
@@ -51,7 +51,7 @@
     TcpStream socket;
     asio::steady_timer timeout;
     http::request<http::empty_body> request;
-    beast::flat_buffer buffer{kReadBufferBytes};
+    ParseBuffer buffer;
     http::response_parser<http::buffer_body> parser;
     std::array<char, kChunkBytes> chunk{};
     SseParser events;
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -22,6 +22,7 @@
 HttpSession::HttpSession(tcp::socket socket, HttpServer& server)
     : socket_(std::move(socket)),
       server_(server),
+      buffer_(server.limits_.unparsed),
       timeout_(socket_.get_executor()),
       since_(std::chrono::steady_clock::now()) {
     error_code error;
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -14,6 +14,7 @@
 #include "net/asio.h"
 #include "net/event_loop_monitor.h"
 #include "net/listener.h"
+#include "net/parse_buffer.h"
 #include "net/tcp_stream.h"
 
 namespace silverrail::net {
@@ -24,6 +25,9 @@
 struct HttpLimits {
     std::uint32_t header = 8U * 1024;  // bytes
     std::uint64_t body = 64UL * 1024;  // bytes
+    // Bytes received and not parsed yet. Bounds a chunk's extensions and trailers too, which are parsed only
+    // once complete. Must not be less than `header` and `read_ahead`.
+    std::size_t unparsed = 16UL * 1024;
     std::size_t connections = 400;
     // A client that fails to send a request must see the connection closed within 3 s of connecting.
     std::chrono::milliseconds first_request_timeout{2'500};  // from connecting to the request's last byte
@@ -136,7 +140,7 @@
     TcpStream socket_;
     core::ClientAddress client_;
     HttpServer& server_;
-    beast::flat_buffer buffer_;
+    ParseBuffer buffer_;
     std::optional<http::request_parser<http::string_body>> parser_;
     std::optional<HttpResponse> response_;
     std::optional<http::response_serializer<http::string_body>> serializer_;
--- a/src/net/https_client.cpp
+++ b/src/net/https_client.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "net/parse_buffer.h"
 #include "net/tcp_stream.h"
 
 namespace silverrail::net {
@@ -154,7 +155,7 @@
     tcp::resolver resolver_;
     asio::ssl::stream<TcpStream> stream_;
     asio::steady_timer timeout_;
-    beast::flat_buffer buffer_;
+    ParseBuffer buffer_;
     http::request<http::string_body> request_;
     http::response_parser<http::string_body> parser_;
     std::function<void(acme::HttpResponse)> done_;
--- a/src/net/server_connection.h
+++ b/src/net/server_connection.h
@@ -6,6 +6,7 @@
 
 #include "core/types.h"
 #include "net/asio.h"
+#include "net/parse_buffer.h"
 #include "net/peek.h"
 #include "net/tcp_stream.h"
 
@@ -35,7 +36,7 @@
     }
 
     TcpStream socket;
-    beast::flat_buffer buffer;
+    ParseBuffer buffer;
 
 private:
     std::shared_ptr<std::size_t> open_count_;
--- a/tests/acme/authority.h
+++ b/tests/acme/authority.h
@@ -77,7 +77,11 @@
 
     std::atomic<int> good_nonces_to_reject{0};
     std::atomic<int> orders_to_fail{0};  // with 503 and Retry-After: 7
-    std::atomic<int> rejected{0};        // requests that failed the authority's checks
+    // More than the buffers of both sockets hold, so a client that gets all of it has kept it.
+    static constexpr std::size_t kMaxExtensionBytes = 64UL << 20;
+    std::atomic<bool> endless_chunk_extension{false};  // in place of any response
+    std::atomic<std::size_t> extension_bytes{0};       // of these, sent before the client closed
+    std::atomic<int> rejected{0};                      // requests that failed the authority's checks
     std::atomic<int> missing_records{0};
     std::atomic<int> issued{0};
     std::atomic<int> accounts{0};
@@ -123,10 +127,19 @@
             } catch (const boost::system::system_error&) {}
         }
     }
+    // Ends with an exception once the client closes.
+    void send_endless_chunk_extension(asio::ssl::stream<tcp::socket>& stream) {
+        const std::string block(16UL * 1024, 'x');
+        asio::write(stream, asio::buffer("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;note="s));
+        while (extension_bytes < kMaxExtensionBytes)
+            extension_bytes += asio::write(stream, asio::buffer(block));
+    }
     void serve_request(asio::ssl::stream<tcp::socket>& stream) {
         net::beast::flat_buffer buffer;
         Request request;
         http::read(stream, buffer, request);
+        if (endless_chunk_extension)
+            return send_endless_chunk_extension(stream);
         const Reply reply = handle(request);
         test::Response response{http::int_to_status(reply.status), 11};
         response.set("Replay-Nonce", fresh_nonce());
--- a/tests/acme/order_test.cpp
+++ b/tests/acme/order_test.cpp
@@ -258,11 +258,27 @@
     CHECK(result.status == 0 && !result.error.empty());
 }
 
+// An authority whose response never ends in a chunk's extension was kept in memory without a limit.
+void endless_chunk_extension_is_an_error() {
+    OrderFixture f;
+    f.authority.endless_chunk_extension = true;
+    acme::HttpResponse result;
+    bool done = false;
+    f.https.send({"GET", f.authority.directory_url(), ""}, [&](acme::HttpResponse response) {
+        result = std::move(response);
+        done = true;
+    });
+    run_until(f.io, [&] { return done; });
+    CHECK(result.status == 0 && !result.error.empty());
+    CHECK(f.authority.extension_bytes < Authority::kMaxExtensionBytes);
+}
+
 }  // namespace
 
 int main() {
     certificate_is_ordered_and_renewed();
     failed_challenge_yields_no_certificate();
     untrusted_authority_is_rejected();
+    endless_chunk_extension_is_an_error();
     std::puts("acme: certificates are ordered, renewed and reused after a restart");
 }
--- a/tests/silverrail/misbehaving_endpoints_test.cpp
+++ b/tests/silverrail/misbehaving_endpoints_test.cpp
@@ -20,6 +20,7 @@
     };
     const std::string put = "PUT /ops/lodge/" + kObject + "/piece-0 HTTP/1.1\r\n" + kFields;
     const std::string filler(600'000, 'x');
+    const std::string zeros(600'000, '0');
     const Case cases[] = {
         {put + "Content-Length: 60000000\r\n\r\n" + filler, "413"},
         {put + "Content-Length: 99999999999999999999999\r\n\r\n", "400"},
@@ -30,6 +31,11 @@
         {put + "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n0\r\n\r\n" + put, "400"},
         {put + "Transfer-Encoding: chunked, other\r\n\r\n0\r\n\r\n" + put, "400"},
         {put + "Transfer-Encoding: chunked\r\n\r\n7000000\r\n" + filler, "413"},
+        // Endless framing of chunks, which no limit on headers and bodies covers: each was kept whole until
+        // the request's timeout, and one client could exhaust the router's memory.
+        {put + "Transfer-Encoding: chunked\r\n\r\n5;note=" + filler, "400"},
+        {put + "Transfer-Encoding: chunked\r\n\r\n" + zeros, "400"},
+        {put + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nEndless: " + filler, "400"},
         {put + "Endless: " + filler, "431"},
         {std::string("\x16\x03\x01\x02\x00\x01", 6) + filler, "400"},
     };
@@ -165,6 +171,10 @@
         {"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n" + filler, false, false},
         {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nb2d05e00\r\n" + filler, false, false},
         {"HTTP/1.1 200 OK\r\n\r\n" + filler, false, false},
+        // Endless framing of chunks; each was kept whole until the attempt's timeout.
+        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;note=" + filler, false, false},
+        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + std::string(1 << 20, '0'), false, false},
+        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nEndless: " + filler, false, false},
         {"HTTP/1.1 200 OK\r\nEndless: " + filler, false, false},
         {"HTTP/1.1 304 Not Modified\r\nTag: 4be0\r\n\r\n", false, false},  // to a client without a copy
         {"no answer at all\r\n\r\n", false, false},
