Keep no own copies that may predate a purge which discovery has not told

Cause: the watch called itself synchronized with the first line later than 300 ms after discovery's answer. Missed events may be told at any later time; in the case the sixth of 20 was itself that line, at 302 ms, and the copies from before the interruption were used with 14 purges still to come.

Change: core::PurgeCoverage goes by what the servers guarantee, not by what the stream seems to say. When purges may be missing (stream interrupted, events lost, a purge told late), all own copies are dropped, and none is kept that was asked for before the servers have cleared theirs. This holds however slowly the missed events come, uses the monotonic clock and needs no setting. The bound on an event's age took the same 300 ms for completeness; it includes the interruption for 60 s now. Figures own_discards and purges_late, after the others.

Tests: silverrail_program, missed_events_may_be_told_late, failed on the build before (program_test.cpp:95, the second request was answered from an own copy) and passes; silverrail_core_response_cache has two new cases. slow_responses_are_not_synchronized asserted that a late answer is not taken for complete; as nothing is taken for complete any more, an_open_stream_may_still_deliver_missed_events replaces it, and the table of bad events now checks where events are lost. The list of figures in the compatibility test is longer by two.

--- a/src/app/program.cpp
+++ b/src/app/program.cpp
@@ -110,7 +110,8 @@
     discovery_.emplace(
         io_, endpoint_of(config_.discovery), config_.last_known_event,
         [this](std::int64_t, std::string_view data) { return on_discovery_data(data); }, log_, config_.seed);
-    discovery_->when_synchronized([this](bool synchronized) { engine_.set_purges_reliable(synchronized); });
+    discovery_->when_connected([this](bool connected) { engine_.set_discovery_connected(connected); });
+    discovery_->when_events_lost([this] { engine_.discovery_events_lost(); });
     discovery_->start();
     reloader_.attach(*discovery_);
 }
@@ -144,7 +145,7 @@
         log_.line("bad-event", "%.*s", static_cast<int>(data.size()), data.data());
         return false;
     }
-    return apply_event(*json, kMaxDiscoveryDelay + discovery_->unsynchronized_for());
+    return apply_event(*json, kMaxDiscoveryDelay + discovery_->max_event_delay());
 }
 
 // `max_age`: how long ago the event can have happened at most. Returns false if it is of no known form.
--- a/src/cache/response_cache.h
+++ b/src/cache/response_cache.h
@@ -59,6 +59,9 @@
     std::optional<Hit> find_last_resort(const Lookup& request, Time now, std::int64_t unix_ms, Time deadline);
 
     void set_capacity(std::size_t bytes);
+    void clear() {
+        store_.clear();
+    }
     void purge_object(ObjectId object, std::int64_t issued_ms) {
         store_.purge_object(object, issued_ms);
     }
--- a/src/cache/response_store.cpp
+++ b/src/cache/response_store.cpp
@@ -47,6 +47,13 @@
     evict_excess();
 }
 
+void ResponseStore::clear() {
+    entries_.clear();
+    recency_.clear();
+    groups_.clear();
+    bytes_ = 0;
+}
+
 void ResponseStore::evict_excess() {
     while (bytes_ > capacity_bytes_)
         erase(entries_.find(recency_.front()));
--- a/src/cache/response_store.h
+++ b/src/cache/response_store.h
@@ -40,6 +40,7 @@
     void put(const ResponseKey& key, StoredResponse response);
     // Null: not stored. Marks the response as most recently used. Valid until the store is next modified.
     const StoredResponse* find(const ResponseKey& key);
+    void clear();
     // Remove the responses of the object, or of the whole group, that were generated at or before
     // `issued_ms`.
     void purge_object(ObjectId object, std::int64_t issued_ms);
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -60,6 +60,14 @@
     void apply(const PurgeNotice& purge, Span max_age = Span::max()) {
         updates_.apply(purge, max_age);
     }
+    // Discovery's event stream was opened or interrupted.
+    void set_discovery_connected(bool connected) {
+        cache_.set_discovery_connected(connected, state_.clock.now());
+    }
+    // Events of discovery were lost, possibly purges among them.
+    void discovery_events_lost() {
+        cache_.purges_missed(state_.clock.now());
+    }
     // Excludes the servers in `overrides` and readmits those that are no longer in it.
     void set_overrides(const overrides::ServerOverrides& overrides) {
         updates_.set_overrides(overrides);
@@ -87,15 +95,11 @@
 
     // ---- settings --------------------------------------------------------------------------------------
 
-    // Requests are answered from the response cache from now on, while purges are reliable and if the limits
-    // permit a cache.
+    // Requests are answered from the response cache from now on, while discovery is connected and if the
+    // limits permit a cache.
     void enable_response_cache(cache::CacheLimits limits) {
         cache_.enable(limits);
     }
-    // Whether every purge is guaranteed to be received in time.
-    void set_purges_reliable(bool reliable) {
-        cache_.set_purges_reliable(reliable);
-    }
     // The number of processes that act as one router, and the capacity of this process's response cache.
     void set_process_share(std::size_t processes, std::size_t cache_bytes);
     // Null: no observer. The observer must outlive the engine or be removed.
--- a/src/core/response_cache_stage.h
+++ b/src/core/response_cache_stage.h
@@ -5,6 +5,7 @@
 #include "cache/response_cache.h"
 #include "core/active_request.h"
 #include "core/counters.h"
+#include "core/purge_coverage.h"
 #include "core/purges.h"
 
 namespace silverrail::core {
@@ -16,12 +17,14 @@
         : settings_(settings),
           longest_request_(longest_client_timeout(settings)),
           purges_(purges),
+          coverage_(purges.cleared_after()),
           counters_(counters) {}
-    void enable(cache::CacheLimits limits) {
-        cache_.emplace(settings_.classes, limits);
-    }
-    // Whether every purge is guaranteed to be received in time.
-    void set_purges_reliable(bool reliable);
+    void enable(cache::CacheLimits limits);
+    // Discovery's event stream was opened or interrupted; the events in between may be received at any later
+    // time. Responses are used only while it is open.
+    void set_discovery_connected(bool connected, Time now);
+    // Purges issued until now may still be missing, or were lost.
+    void purges_missed(Time now);
     void set_capacity(std::size_t bytes);
 
     // `unix_ms`: upper bound of the current Unix time in ms, so that no response's age is underestimated.
@@ -33,6 +36,7 @@
     void purge(const PurgeNotice& purge);
 
 private:
+    void discard_responses();
     // Absent: the request must not be answered from the cache.
     std::optional<cache::Lookup> lookup_of(const ClientRequest& request, std::size_t class_index) const;
     std::optional<ClientResponse> response_from(std::optional<cache::Hit> hit);
@@ -40,6 +44,7 @@
     const routing::Settings& settings_;
     const Span longest_request_;
     const Purges& purges_;
+    PurgeCoverage coverage_;
     Counters& counters_;
     std::optional<cache::ResponseCache> cache_;
 };
--- a/src/net/discovery_watch.cpp
+++ b/src/net/discovery_watch.cpp
@@ -21,10 +21,12 @@
 constexpr std::chrono::milliseconds kMaxResponseTime{10'000};
 constexpr std::size_t kMaxUnanswered = 2;
 
-// Missed events follow right after the response header, so a line that arrives later than this shows that
-// they have been received; it is early enough for a missed purge to take effect in time. Counted from the
-// response header and not from the request, as a slow response would use the time up.
-constexpr std::chrono::milliseconds kCatchUpTime{300};
+// A connection that delivers a line later than this after its response header is stable.
+constexpr std::chrono::milliseconds kMinStableTime{300};
+
+// Only bounds the plausible age of an event. A server that is slower makes its late events look implausible,
+// which is the safe side.
+constexpr std::chrono::seconds kMaxCatchUpTime{60};
 
 constexpr std::size_t kChunkBytes = 16UL * 1024;
 constexpr unsigned kHttp11 = 11;
@@ -79,7 +81,7 @@
     if (server == server_)
         return;
     server_ = server;
-    set_synchronized(false);
+    set_connected(false);
     // Closed at once, even in the middle of an event: the old server may keep the connection open and send
     // nothing more.
     if (const auto old = std::exchange(current_, nullptr))
@@ -161,6 +163,7 @@
     close_all(std::exchange(unanswered_, {}));
     log_.line("discovery-up", "resuming after event %lld", static_cast<long long>(last_event_));
     connection->response_header_at = std::chrono::steady_clock::now();
+    set_connected(true);
     restart_silence_timer(connection);
     read_events(connection);
 }
@@ -223,12 +226,10 @@
 
 void DiscoveryWatch::on_line(const ConnectionPointer& connection) {
     restart_silence_timer(connection);
-    if (std::chrono::steady_clock::now() < connection->response_header_at + kCatchUpTime)
-        return;
     // Not earlier: otherwise a server that closes each connection early would be reconnected to without
     // delay.
-    backoff_.reset();
-    set_synchronized(true);
+    if (std::chrono::steady_clock::now() >= connection->response_header_at + kMinStableTime)
+        backoff_.reset();
 }
 
 void DiscoveryWatch::restart_silence_timer(const ConnectionPointer& connection) {
@@ -242,7 +243,7 @@
 void DiscoveryWatch::fail(const ConnectionPointer& connection, const char* reason) {
     if (std::exchange(connection->closed, true))
         return;
-    set_synchronized(false);
+    set_connected(false);
     log_.line("discovery-down", "%s; last event %lld", reason, static_cast<long long>(last_event_));
     connection->close();
     // Another connection is already open, opening or scheduled.
@@ -253,18 +254,27 @@
     reconnect_after_backoff();
 }
 
-void DiscoveryWatch::set_synchronized(bool synchronized) {
-    if (std::exchange(synchronized_, synchronized) == synchronized)
+void DiscoveryWatch::set_connected(bool connected) {
+    if (!connected && !stream_open_)
         return;
-    unsynchronized_since_ = std::chrono::steady_clock::now();
-    if (on_synchronized_)
-        on_synchronized_(synchronized);
+    const auto now = std::chrono::steady_clock::now();
+    if (connected)
+        stream_opened_at_ = now;
+    // Otherwise events from before the previous interruption may still be missing.
+    else if (is_catch_up_over(now))
+        interrupted_at_ = now;
+    stream_open_ = connected;
+    if (on_connected_)
+        on_connected_(connected);
+}
+
+bool DiscoveryWatch::is_catch_up_over(std::chrono::steady_clock::time_point now) const {
+    return stream_open_ && now > stream_opened_at_ + kMaxCatchUpTime;
 }
 
-std::chrono::steady_clock::duration DiscoveryWatch::unsynchronized_for() const {
-    if (synchronized_)
-        return {};
-    return std::chrono::steady_clock::now() - unsynchronized_since_;
+std::chrono::steady_clock::duration DiscoveryWatch::max_event_delay() const {
+    const auto now = std::chrono::steady_clock::now();
+    return is_catch_up_over(now) ? std::chrono::steady_clock::duration{} : now - interrupted_at_;
 }
 
 void DiscoveryWatch::on_event(const ConnectionPointer& connection, const SseParser::Event& event) {
@@ -284,6 +294,8 @@
         return;
     if (number != 0)
         last_event_ = number;
+    if ((gap || !parsed) && on_events_lost_)
+        on_events_lost_();
 }
 
 // Reconnects and resumes after the last good event, as a drain or purge may have been lost in transit. Done
--- a/src/net/discovery_watch.h
+++ b/src/net/discovery_watch.h
@@ -31,10 +31,15 @@
     DiscoveryWatch(asio::io_context& io, tcp::endpoint server, std::int64_t last_event, EventHandler on_event,
                    Log& log, std::uint64_t seed);
     ~DiscoveryWatch();
-    // `action` is called whenever the watch becomes or ceases to be synchronized. While it is synchronized,
-    // every event is certain to arrive.
-    void when_synchronized(std::function<void(bool)> action) {
-        on_synchronized_ = std::move(action);
+    // `action` is called whenever the stream is opened or interrupted. An open stream first delivers the
+    // events that were missed. Nothing in it tells when it has delivered the last of them.
+    void when_connected(std::function<void(bool connected)> action) {
+        on_connected_ = std::move(action);
+    }
+    // `action` is called when events are skipped for good, as the server has left them out, or sent them in
+    // an unreadable form, twice.
+    void when_events_lost(std::function<void()> action) {
+        on_events_lost_ = std::move(action);
     }
     void start() {
         connect();
@@ -51,8 +56,9 @@
     const Counters& counters() const {
         return counters_;
     }
-    // Time since it was last synchronized, or since its construction; 0 while it is.
-    std::chrono::steady_clock::duration unsynchronized_for() const;
+    // Upper bound of the time for which an event that arrives now was withheld by an interruption. Missed
+    // events are expected within kMaxCatchUpTime of the response header.
+    std::chrono::steady_clock::duration max_event_delay() const;
 
 private:
     struct Connection;
@@ -71,7 +77,8 @@
     bool refetch(const ConnectionPointer& connection, std::int64_t number, const char* reason);
     void restart_silence_timer(const ConnectionPointer& connection);
     void fail(const ConnectionPointer& connection, const char* reason);
-    void set_synchronized(bool synchronized);
+    void set_connected(bool connected);
+    bool is_catch_up_over(std::chrono::steady_clock::time_point now) const;
     static void close_all(const std::vector<ConnectionPointer>& connections);
 
     asio::io_context& io_;
@@ -83,9 +90,11 @@
     ConnectionPointer current_;  // the one that is read or being opened; null: waiting to reconnect
     std::vector<ConnectionPointer> unanswered_;  // earlier ones still without a response, oldest first
     Backoff backoff_;
-    std::function<void(bool)> on_synchronized_;
-    bool synchronized_ = false;
-    std::chrono::steady_clock::time_point unsynchronized_since_ = std::chrono::steady_clock::now();
+    std::function<void(bool)> on_connected_;
+    std::function<void()> on_events_lost_;
+    bool stream_open_ = false;
+    std::chrono::steady_clock::time_point stream_opened_at_{};
+    std::chrono::steady_clock::time_point interrupted_at_ = std::chrono::steady_clock::now();
     // The last event that was requested again; if it is bad twice, it is skipped.
     std::int64_t refetched_event_ = 0;
     Counters counters_;
--- a/tests/compatibility/control_test.cpp
+++ b/tests/compatibility/control_test.cpp
@@ -68,6 +68,8 @@
     "ending_not_sent",
     "ending_miss",
     "ending_unseen",
+    "own_discards",
+    "purges_late",
 };
 const std::vector<std::string> kTraceFigures = {
     "trace_records", "trace_dropped", "trace_lost",         "trace_bytes",
--- a/tests/core/response_cache_test.cpp
+++ b/tests/core/response_cache_test.cpp
@@ -21,7 +21,7 @@
     CHECK(f.engine.counters().redirected == 1 && f.engine.counters().own_fresh == 1);
 }
 
-void a_stale_response_replaces_a_rejection_while_purges_are_reliable() {
+void a_stale_response_replaces_a_rejection_while_discovery_is_connected() {
     Fixture f;
     f.enable_response_cache();
     (void)f.submit();
@@ -33,7 +33,7 @@
     CHECK(stale->has(Kind::served));
     CHECK(f.engine.counters().own_stale == 1 && f.engine.counters().refused == 0);
 
-    f.engine.set_purges_reliable(false);
+    f.engine.set_discovery_connected(false);
     const auto rejected = f.submit();
     f.sender.end_all(AttemptStatus::connect_failed);
     CHECK(rejected->response.kind == Kind::rejected);
@@ -44,8 +44,7 @@
     f.enable_response_cache();
     (void)f.submit();
     f.respond(f.clock.unix_ms());
-    f.engine.set_purges_reliable(false);
-    f.engine.set_purges_reliable(true);
+    f.connect_discovery();
     f.clock.passed += 18s;
     const auto reply = f.submit();
     const auto before = f.clock.unix_ms();
@@ -93,12 +92,58 @@
     }
 }
 
+// Discovery may tell the purges that were missed during an interruption at any later time. So nothing is used
+// that may predate one of them, whatever has arrived since and however long it has been quiet: neither
+// responses from before, nor those requested while servers may still hold a purged copy.
+void responses_that_may_predate_a_missed_purge_are_not_used() {
+    Fixture f;
+    f.enable_response_cache();
+    (void)f.submit();
+    f.respond(f.clock.unix_ms());
+    CHECK(f.submit()->count == 1);
+    f.connect_discovery();
+    for (const Span since : {Span{}, Span{300ms}, kServersCleared - 1ms}) {
+        f.clock.passed = kServersCleared + since;
+        const auto reply = f.submit();
+        CHECK(reply->count == 0 && f.sender.in_flight.size() == 1);
+        f.respond(f.clock.unix_ms());
+    }
+    f.clock.passed = 2 * kServersCleared;
+    CHECK(f.submit()->count == 0);
+    f.respond(f.clock.unix_ms());
+    CHECK(f.submit()->count == 1 && f.engine.counters().own_fresh == 2);
+}
+
+// A purge that arrives late, or events that are lost, show that others may be missing: it is the same as
+// after an interruption.
+void late_purges_and_lost_events_show_that_others_may_be_missing() {
+    for (const bool late : {false, true}) {
+        for (const bool lost : {false, true}) {
+            Fixture f;
+            f.enable_response_cache();
+            (void)f.submit();
+            f.respond(f.clock.unix_ms());
+            CHECK(f.submit()->count == 1);
+            const Span age = late ? Span{3s} : Span{300ms};
+            f.engine.apply(
+                PurgeNotice{std::nullopt, silverrail::routing::GroupId{3}, f.clock.unix_ms() - age / 1ms});
+            if (lost)
+                f.engine.discovery_events_lost();
+            CHECK((f.submit()->count == 1) == (!late && !lost));
+            CHECK(f.engine.counters().purges_late == (late ? 1u : 0u));
+            CHECK(f.engine.counters().own_discards == (late || lost ? 1u : 0u));
+        }
+    }
+}
+
 }  // namespace
 
 int main() {
     a_fresh_response_answers_without_an_attempt();
-    a_stale_response_replaces_a_rejection_while_purges_are_reliable();
+    a_stale_response_replaces_a_rejection_while_discovery_is_connected();
     a_response_requested_before_a_purge_is_not_stored();
     a_late_response_is_sent_to_its_own_client_only();
+    responses_that_may_predate_a_missed_purge_are_not_used();
+    late_purges_and_lost_events_show_that_others_may_be_missing();
     std::puts("response cache: all cases passed");
 }
--- a/tests/silverrail/discovery_test.cpp
+++ b/tests/silverrail/discovery_test.cpp
@@ -79,12 +79,14 @@
                   return true;
               },
               log, 7) {
-        discovery.when_synchronized([this](bool now) { synchronized = now; });
+        discovery.when_connected([this](bool now) { connected = now; });
+        discovery.when_events_lost([this] { ++losses; });
         discovery.start();
     }
     Log log;
     std::vector<std::int64_t> received;
-    bool synchronized = false;
+    bool connected = false;
+    int losses = 0;
     net::DiscoveryWatch discovery;
 };
 
@@ -129,6 +131,7 @@
         std::size_t connects;
         std::uint64_t unreadable, gaps;
         bool closes = false;  // the server ends the first response
+        int losses = 0;       // times that events were skipped for good
     };
     const Case cases[] = {
         {"unreadable once",
@@ -146,9 +149,11 @@
          {3},
          2,
          2,
-         0},
+         0,
+         false,
+         1},
         {"missing once", event(3, "b"), event(2, "a") + event(3, "b"), "1", {2, 3}, 2, 0, 1},
-        {"gaps in the numbers", event(5, "a"), event(5, "a") + event(6, "b"), "1", {5, 6}, 2, 0, 2},
+        {"gaps in the numbers", event(5, "a"), event(5, "a") + event(6, "b"), "1", {5, 6}, 2, 0, 2, false, 1},
         {"a wrong number", event(999999, "a"), event(2, "a") + event(3, "b"), "1", {2, 3}, 2, 0, 1},
         {"incomplete event at the end", "id: 2\ndata: a\n", event(2, "a"), "1", {2}, 2, 0, 0, true},
         {"duplicate event", event(2, "a") + event(2, "a") + event(3, "b"), "", "", {2, 3}, 1, 0, 0},
@@ -174,6 +179,7 @@
         server.connections.back()->send(event(static_cast<int>(next), "more"));
         run_until(io, [&] { return watch.discovery.last_event() == next; });
         CHECK(watch.discovery.counters().connects == c.connects && server.open() == 1);
+        CHECK(watch.losses == c.losses);
         CHECK(watch.discovery.counters().unreadable == c.unreadable &&
               watch.discovery.counters().gaps == c.gaps);
     }
@@ -190,26 +196,28 @@
     const PeriodicSender partial_line{io, first, "x"};
     auto& second = await_request(io, server, 2);
     CHECK(std::chrono::steady_clock::now() - begin < net::DiscoveryWatch::kSilenceTimeout + 1500ms);
-    CHECK(second.after == "2" && !watch.synchronized);
+    CHECK(second.after == "2" && !watch.connected);
     second.send(kHead + event(3, "b"));
     run_until(io, [&] { return watch.received.size() == 2; });
-    // Synchronized again once a line arrives after the time allowed for missed events.
-    const PeriodicSender keepalive{io, second, ": here\n\n"};
-    run_until(io, [&] { return watch.synchronized; });
-    CHECK(server.open() == 1);
+    CHECK(watch.connected && server.open() == 1);
 }
 
-// A slow response does not make the watch synchronized: missed events follow the response header.
-void slow_responses_are_not_synchronized() {
+// The stream counts as open from the response header on, whatever is missing then; an event told long after
+// it may be as old as the interruption.
+void an_open_stream_may_still_deliver_missed_events() {
     asio::io_context io;
     DiscoveryServer server{io};
+    const auto interrupted = std::chrono::steady_clock::now();
     Watch watch{io, server.address()};
     auto& first = await_request(io, server, 1);
-    const auto late = std::chrono::steady_clock::now() + 350ms;
-    while (std::chrono::steady_clock::now() <= late) {}
-    first.send(kHead + event(2, "a"));
-    run_until(io, [&] { return watch.received.size() == 1; });
-    CHECK(!watch.synchronized);
+    CHECK(!watch.connected);
+    first.send(kHead);
+    run_until(io, [&] { return watch.connected; });
+    const auto late = std::chrono::steady_clock::now() + 700ms;
+    const PeriodicSender keepalive{io, first, ": here\n\n"};
+    run_until(io, [&] { return std::chrono::steady_clock::now() > late; });
+    CHECK(watch.discovery.max_event_delay() > 700ms);
+    CHECK(watch.discovery.max_event_delay() <= std::chrono::steady_clock::now() - interrupted);
 }
 
 // The discovery address changes while the watch waits to reconnect, while it connects and while it is
@@ -271,7 +279,7 @@
 int main() {
     bad_events_are_fetched_once_more();
     an_unterminated_line_counts_as_silence();
-    slow_responses_are_not_synchronized();
+    an_open_stream_may_still_deliver_missed_events();
     moves_keep_event_numbers();
     closed_connections_are_retried_with_backoff();
     std::puts("discovery: all cases passed");
--- a/tests/silverrail/program_test.cpp
+++ b/tests/silverrail/program_test.cpp
@@ -87,6 +87,18 @@
     });
 }
 
+// After a break a purge may have been missed, and lines that arrive later than the first do not show that all
+// missed events have been told: the server is asked. Such a line had copies from before a purge served.
+void missed_events_may_be_told_late(ProgramFixture& f) {
+    for (int i = 0; i < 4; ++i) {
+        const std::size_t asked_before = f.server.seen.size();
+        CHECK(f.request(make_request("pages", kObject)) == 200 && f.server.seen.size() == asked_before + 1);
+        const auto next_line = std::chrono::steady_clock::now() + 400ms;
+        run_until(f.io, [&] { return std::chrono::steady_clock::now() > next_line; });
+        f.discovery.say(": here\n\n");
+    }
+}
+
 // Cut off, it connects anew after the last event that it had; one that comes again is not applied twice.
 void discovery_resumes_after_the_last_event(ProgramFixture& f) {
     f.discovery.say("id: 2\ndata: {\"no\":2,\"recall\":{\"lot\":3,\"issued\":1}}\n\n");
@@ -94,9 +106,7 @@
     f.discovery.cut();
     run_until(f.io, [&] { return f.discovery.resumed_after.size() == 2; });
     CHECK(f.discovery.resumed_after[1] == "2");
-    // Right after a break a purge may have been missed: the server is asked.
-    const std::size_t asked_before = f.server.seen.size();
-    CHECK(f.request(make_request("pages", kObject)) == 200 && f.server.seen.size() == asked_before + 1);
+    missed_events_may_be_told_late(f);
     f.discovery.say(
         "id: 2\ndata: {\"no\":2,\"recall\":{\"lot\":3,\"issued\":1}}\n\n"
         "id: 3\ndata: {\"no\":3,\"roster\":{\"version\":2,\"full\":false,\"servers\":[" +
