Use own copies until purges missed in an interruption bind, then only those asked for later

Change: PurgeCoverage moves to the response cache and judges each copy. What was missed between the last line and the next answer's header binds 7 s and 0.5 s after that line at the earliest (PROTOCOL, "Figures"; WIRE, rule 5), and no server holds an older copy 6.1 s after the header. So copies are used until the first of these times, and after it only those asked for after the second. Interruptions bind one by one; the start counts as one, but for a second process, whose configuration is older. Purges told over 7.5 s late and lost events leave only copies asked for later; a purge comes some time after it was issued by itself (WIRE, PURGED), so 0.6 s as before proved nothing. Figure own_withheld in place of own_discards.

--- a/src/app/program.cpp
+++ b/src/app/program.cpp
@@ -110,12 +110,25 @@
     discovery_.emplace(
         io_, endpoint_of(config_.discovery), config_.last_known_event,
         [this](std::int64_t, std::string_view data) { return on_discovery_data(data); }, log_, config_.seed);
-    discovery_->when_connected([this](bool connected) { engine_.set_discovery_connected(connected); });
-    discovery_->when_events_lost([this] { engine_.discovery_events_lost(); });
+    if (auto* coverage = engine_.purge_coverage())
+        observe_discovery(*coverage);
     discovery_->start();
     reloader_.attach(*discovery_);
 }
 
+void Program::observe_discovery(cache::PurgeCoverage& coverage) {
+    // The events in the configuration are those of the router's start, which a second process did not see.
+    if (handover_.processes() == 1)
+        coverage.set_complete(clock_.now());
+    using SteadyTime = std::chrono::steady_clock::time_point;
+    discovery_->when_live(
+        [&coverage](SteadyTime opened) { coverage.set_live(core::Time{opened.time_since_epoch()}); });
+    discovery_->when_interrupted([&coverage](SteadyTime last_line) {
+        coverage.set_interrupted(core::Time{last_line.time_since_epoch()});
+    });
+    discovery_->when_events_lost([this, &coverage] { coverage.set_overdue(clock_.now()); });
+}
+
 void Program::run() {
     unblock_signals();
     lifecycle_.enter(Lifecycle::Phase::ready);
--- a/src/app/program.h
+++ b/src/app/program.h
@@ -38,6 +38,7 @@
     GracefulShutdown::Dependencies shutdown_dependencies();
 
     void start_discovery();
+    void observe_discovery(cache::PurgeCoverage& coverage);
     void on_process_count(std::size_t processes);
     void on_phase(Lifecycle::Phase phase);
     bool on_discovery_data(std::string_view data);
--- a/src/cache/response_cache.cpp
+++ b/src/cache/response_cache.cpp
@@ -1,5 +1,7 @@
 #include "cache/response_cache.h"
 
+#include <utility>
+
 namespace silverrail::cache {
 
 namespace {
@@ -33,11 +35,13 @@
 
 }  // namespace
 
-ResponseCache::ResponseCache(const std::vector<routing::ClassSettings>& classes, CacheLimits limits)
+ResponseCache::ResponseCache(const std::vector<routing::ClassSettings>& classes, CacheLimits limits,
+                             PurgeCoverage coverage)
     : classes_(classes),
       uplink_(limits.uplink),
       store_(limits.enabled() ? limits.bytes : 0),
-      enabled_(limits.enabled()) {}
+      enabled_(limits.enabled()),
+      coverage_(std::move(coverage)) {}
 
 void ResponseCache::set_capacity(std::size_t bytes) {
     if (enabled_)
@@ -45,21 +49,32 @@
 }
 
 void ResponseCache::store(const Lookup& request, std::string_view body, std::string_view tag,
-                          std::int64_t generated_ms, std::int64_t purged_ms) {
+                          std::int64_t generated_ms, std::int64_t purged_ms, Time requested) {
     if (!enabled_ || !request.group_known || classes_[request.key.class_index].uncached)
         return;
     // A response of unknown age cannot expire. One generated before a purge was in flight when the purge
     // arrived.
     if (generated_ms <= 0 || generated_ms <= purged_ms || tag.empty())
         return;
+    // Otherwise a response that cannot be used any more could keep out an older one that can.
+    if (const auto* stored = store_.find(request.key);
+        stored && !coverage_.may_use(stored->requested, requested))
+        store_.erase(request.key);
     store_.put(request.key, StoredResponse{.body = std::make_shared<const std::string>(body),
                                            .tag = std::string{tag},
                                            .group = request.group,
-                                           .generated_ms = generated_ms});
+                                           .generated_ms = generated_ms,
+                                           .requested = requested});
 }
 
-const StoredResponse* ResponseCache::find(const Lookup& request) {
-    return enabled_ && purges_reliable_ && request.group_known ? store_.find(request.key) : nullptr;
+const StoredResponse* ResponseCache::find(const Lookup& request, Time now) {
+    if (!enabled_ || !request.group_known)
+        return nullptr;
+    const StoredResponse* response = store_.find(request.key);
+    if (!response || coverage_.may_use(response->requested, now))
+        return response;
+    ++withheld_;
+    return nullptr;
 }
 
 Hit ResponseCache::use(const Lookup& request, const StoredResponse& response, Time now, bool stale) {
@@ -71,7 +86,7 @@
 }
 
 std::optional<Hit> ResponseCache::find_fresh(const Lookup& request, Time now, std::int64_t unix_ms) {
-    const StoredResponse* response = find(request);
+    const StoredResponse* response = find(request, now);
     if (!response)
         return std::nullopt;
     const auto& settings = classes_[request.key.class_index];
@@ -87,7 +102,7 @@
 
 std::optional<Hit> ResponseCache::find_last_resort(const Lookup& request, Time now, std::int64_t unix_ms,
                                                    Time deadline) {
-    const StoredResponse* response = find(request);
+    const StoredResponse* response = find(request, now);
     if (!response)
         return std::nullopt;
     const auto& settings = classes_[request.key.class_index];
--- a/src/cache/response_cache.h
+++ b/src/cache/response_cache.h
@@ -7,6 +7,7 @@
 #include <string_view>
 #include <vector>
 
+#include "cache/purge_coverage.h"
 #include "cache/response_store.h"
 #include "cache/uplink_budget.h"
 
@@ -40,18 +41,18 @@
 class ResponseCache {
 public:
     // `classes` must outlive the cache.
-    ResponseCache(const std::vector<routing::ClassSettings>& classes, CacheLimits limits);
+    ResponseCache(const std::vector<routing::ClassSettings>& classes, CacheLimits limits,
+                  PurgeCoverage coverage);
 
-    // Guards rule 5 (no purged copy): the cache is only correct if it receives every purge, so it returns no
-    // hits while purges may be missed. They are unreliable until the first call.
-    void set_purges_reliable(bool reliable) {
-        purges_reliable_ = reliable;
+    // Guards rule 5 (no purged copy): a response is only used while this allows it.
+    PurgeCoverage& coverage() {
+        return coverage_;
     }
 
-    // Stores a server's response. `purged_ms`: Unix time in ms of the last purge of its object or group; 0:
-    // none.
+    // Stores a server's response to a request that was sent at `requested` or later. `purged_ms`: Unix time
+    // in ms of the last purge of its object or group; 0: none.
     void store(const Lookup& request, std::string_view body, std::string_view tag, std::int64_t generated_ms,
-               std::int64_t purged_ms);
+               std::int64_t purged_ms, Time requested);
     // A fresh response that can be sent within the class's latency objective. A hit reserves its uplink time.
     std::optional<Hit> find_fresh(const Lookup& request, Time now, std::int64_t unix_ms);
     // For a request that would be rejected otherwise: a response, fresh or within its stale grace, that can
@@ -59,9 +60,6 @@
     std::optional<Hit> find_last_resort(const Lookup& request, Time now, std::int64_t unix_ms, Time deadline);
 
     void set_capacity(std::size_t bytes);
-    void clear() {
-        store_.clear();
-    }
     void purge_object(ObjectId object, std::int64_t issued_ms) {
         store_.purge_object(object, issued_ms);
     }
@@ -71,16 +69,21 @@
     std::size_t bytes() const {
         return store_.bytes();
     }
+    // Lookups of a stored response that was not used, as it may predate a missed purge.
+    std::uint64_t withheld() const {
+        return withheld_;
+    }
 
 private:
-    const StoredResponse* find(const Lookup& request);
+    const StoredResponse* find(const Lookup& request, Time now);
     Hit use(const Lookup& request, const StoredResponse& response, Time now, bool stale);
 
     const std::vector<routing::ClassSettings>& classes_;
     UplinkBudget uplink_;
     ResponseStore store_;
     bool enabled_;
-    bool purges_reliable_ = false;
+    PurgeCoverage coverage_;
+    std::uint64_t withheld_ = 0;
 };
 
 }  // namespace silverrail::cache
--- a/src/cache/response_store.cpp
+++ b/src/cache/response_store.cpp
@@ -47,11 +47,9 @@
     evict_excess();
 }
 
-void ResponseStore::clear() {
-    entries_.clear();
-    recency_.clear();
-    groups_.clear();
-    bytes_ = 0;
+void ResponseStore::erase(const ResponseKey& key) {
+    if (const auto stored = entries_.find(key); stored != entries_.end())
+        erase(stored);
 }
 
 void ResponseStore::evict_excess() {
--- a/src/cache/response_store.h
+++ b/src/cache/response_store.h
@@ -29,6 +29,7 @@
     std::string tag;
     GroupId group{};
     std::int64_t generated_ms = 0;  // Unix time in ms at which the origin generated it
+    routing::Time requested{};      // its request was sent to a server no earlier
 };
 
 class ResponseStore {
@@ -40,7 +41,7 @@
     void put(const ResponseKey& key, StoredResponse response);
     // Null: not stored. Marks the response as most recently used. Valid until the store is next modified.
     const StoredResponse* find(const ResponseKey& key);
-    void clear();
+    void erase(const ResponseKey& key);
     // Remove the responses of the object, or of the whole group, that were generated at or before
     // `issued_ms`.
     void purge_object(ObjectId object, std::int64_t issued_ms);
--- a/src/core/counters.cpp
+++ b/src/core/counters.cpp
@@ -62,7 +62,7 @@
         put(("held_" + std::string{core::name_of(static_cast<SuppressionReason>(i))}).c_str(), suppressed[i]);
     for (std::size_t i = 0; i < attempts_by_status.size(); ++i)
         put((std::string{"ending_"} + kStatusNames[i]).c_str(), attempts_by_status[i]);
-    put("own_discards", own_discards);
+    put("own_withheld", own_withheld);
     put("purges_late", purges_late);
     return out;
 }
--- a/src/core/counters.h
+++ b/src/core/counters.h
@@ -21,19 +21,18 @@
     std::uint64_t tightened = 0;           // a purge between decision and first byte lowered max_age
     std::uint64_t cancelled = 0;
     std::uint64_t served = 0;
-    std::uint64_t unchanged = 0;     // answered with "not modified"
-    std::uint64_t own_fresh = 0;     // of served and unchanged: fresh, from the response cache
-    std::uint64_t own_stale = 0;     // the same, but past max_age and in place of a rejection
-    std::uint64_t own_discards = 0;  // times that the response cache was emptied, as purges may be missing
-    std::uint64_t redirected = 0;    // printed as `referred`
-    std::uint64_t not_carried = 0;   // rejected: a redirect cannot carry the attempt's parameters
-    std::uint64_t refused = 0;       // rejected, for any reason
+    std::uint64_t unchanged = 0;    // answered with "not modified"
+    std::uint64_t own_fresh = 0;    // of served and unchanged: fresh, from the response cache
+    std::uint64_t own_stale = 0;    // the same, but past max_age and in place of a rejection
+    std::uint64_t redirected = 0;   // printed as `referred`
+    std::uint64_t not_carried = 0;  // rejected: a redirect cannot carry the attempt's parameters
+    std::uint64_t refused = 0;      // rejected, for any reason
     std::uint64_t failed = 0;
     std::uint64_t abandoned = 0;      // the client closed before it was answered
     std::uint64_t past_deadline = 0;  // failed by the engine's own deadline timer
     std::uint64_t lists = 0;
     std::uint64_t purges = 0;
-    std::uint64_t purges_late = 0;   // of these, received later than they must take effect
+    std::uint64_t purges_late = 0;   // of these, received later than they count as told
     std::uint64_t clock_steps = 0;   // of the wall clock, relative to the monotonic clock
     std::uint64_t clock_doubts = 0;  // discovery events older by the wall clock than is possible
     std::uint64_t open = 0;
@@ -42,7 +41,9 @@
     std::array<std::uint64_t, 10> attempts_by_status{};  // by AttemptStatus, printed as `ending_STATUS`
     std::uint64_t backend_calls = 0;                     // attempts written in full to a server
     // Computed when the counters are read.
-    std::uint64_t inflight = 0;      // of `open`, those not yet answered
+    std::uint64_t own_withheld =
+        0;                       // lookups in the response cache without an answer, as purges may be missing
+    std::uint64_t inflight = 0;  // of `open`, those not yet answered
     std::uint64_t hosts_listed = 0;  // servers that are listed and not gone
     std::uint64_t hosts_down = 0;    // of those, currently excluded or outliers
     struct ByClass {
--- a/src/core/discovery_updates.cpp
+++ b/src/core/discovery_updates.cpp
@@ -9,9 +9,6 @@
 // Discovery may list a server this long after its start, as either of them may be slow.
 constexpr Span kMaxListingDelay = std::chrono::seconds{60};
 
-// Normal difference between the synchronised clocks of two machines.
-constexpr Span kClockTolerance = std::chrono::milliseconds{100};
-
 using routing::Condition;
 
 bool is_plausible(Span age, Span max_age) {
@@ -114,14 +111,15 @@
     routing_.notify(routing::Purge{purge.object, purge.group, age}, {.purge = &purge});
 }
 
-// Guards rule 5 (no purged copy): events arrive in order, so a late purge shows that the stream is behind and
-// that others issued until now may still come.
+// Guards rule 5 (no purged copy): events arrive in order, so a purge that is told so late shows that the
+// stream is behind, and that others which must have taken effect by now may still come.
 void DiscoveryUpdates::note_if_late(const PurgeNotice& purge, Time now) {
     const Span age = state_.unix_time.proven_age(now, purge.issued_ms);
-    if (age <= state_.settings.purge_effective_within + kClockTolerance)
+    if (age <= cache::PurgeCoverage::kToldWithin + state_.settings.purge_effective_within)
         return;
     ++state_.counters.purges_late;
-    cache_.purges_missed(now);
+    if (auto* coverage = cache_.coverage())
+        coverage->set_overdue(now);
 }
 
 }  // namespace silverrail::core
--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -246,6 +246,7 @@
 const Counters& Engine::counters() {
     Counters& counters = state_.counters;
     counters.open = state_.requests.size();
+    counters.own_withheld = cache_.withheld();
     counters.clock_steps = state_.unix_time.steps();
     for (std::size_t i = 0; i < kSuppressionReasons; ++i)
         counters.suppressed[i] = state_.guard.suppressed(static_cast<SuppressionReason>(i));
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -60,13 +60,9 @@
     void apply(const PurgeNotice& purge, Span max_age = Span::max()) {
         updates_.apply(purge, max_age);
     }
-    // Discovery's event stream was opened or interrupted.
-    void set_discovery_connected(bool connected) {
-        cache_.set_discovery_connected(connected, state_.clock.now());
-    }
-    // Events of discovery were lost, possibly purges among them.
-    void discovery_events_lost() {
-        cache_.purges_missed(state_.clock.now());
+    // Which cached responses may be used although purges may have been missed. Null: the cache is disabled.
+    cache::PurgeCoverage* purge_coverage() {
+        return cache_.coverage();
     }
     // Excludes the servers in `overrides` and readmits those that are no longer in it.
     void set_overrides(const overrides::ServerOverrides& overrides) {
@@ -95,8 +91,8 @@
 
     // ---- settings --------------------------------------------------------------------------------------
 
-    // Requests are answered from the response cache from now on, while discovery is connected and if the
-    // limits permit a cache.
+    // Requests are answered from the response cache from now on, while discovery is live and if the limits
+    // permit a cache.
     void enable_response_cache(cache::CacheLimits limits) {
         cache_.enable(limits);
     }
--- a/src/core/purges.h
+++ b/src/core/purges.h
@@ -30,9 +30,6 @@
     std::optional<std::int64_t> last_issued_ms(const ClientRequest& request, Time now) const;
     // The maximum age of a copy that a server may respond with. Absent: no server still holds a purged copy.
     std::optional<Span> max_copy_age(const ClientRequest& request, Time now, const UnixTime& unix_time) const;
-    Span cleared_after() const {
-        return cleared_after_;
-    }
     std::size_t size() const {
         return objects_.size() + groups_.size();
     }
--- a/src/core/response_cache_stage.cpp
+++ b/src/core/response_cache_stage.cpp
@@ -9,30 +9,6 @@
 constexpr std::int64_t kClockToleranceMs = 100;
 }  // namespace
 
-void ResponseCacheStage::enable(cache::CacheLimits limits) {
-    cache_.emplace(settings_.classes, limits);
-    cache_->set_purges_reliable(coverage_.connected());
-}
-
-void ResponseCacheStage::set_discovery_connected(bool connected, Time now) {
-    coverage_.set_connected(connected, now);
-    if (cache_)
-        cache_->set_purges_reliable(connected);
-    discard_responses();
-}
-
-void ResponseCacheStage::purges_missed(Time now) {
-    coverage_.purges_missed(now);
-    discard_responses();
-}
-
-void ResponseCacheStage::discard_responses() {
-    if (!cache_ || cache_->bytes() == 0)
-        return;
-    ++counters_.own_discards;
-    cache_->clear();
-}
-
 void ResponseCacheStage::set_capacity(std::size_t bytes) {
     if (cache_)
         cache_->set_capacity(bytes);
@@ -80,9 +56,6 @@
                                std::int64_t unix_ms) {
     if (result.attempt_status != AttemptStatus::success || result.not_modified)
         return;
-    // Guards rule 5 (no purged copy): the response may predate a purge that was never received.
-    if (!coverage_.covers(request.received))
-        return;
     // Guards rule 5 (no purged copy): after this time, purges that the response may predate are no longer
     // known.
     if (now - request.received > longest_request_)
@@ -95,7 +68,7 @@
     if (!lookup)
         return;
     const std::int64_t purged_ms = purges_.last_issued_ms(*request.client_request, now).value_or(0);
-    cache_->store(*lookup, result.body, result.tag, result.generated_ms, purged_ms);
+    cache_->store(*lookup, result.body, result.tag, result.generated_ms, purged_ms, request.received);
 }
 
 void ResponseCacheStage::purge(const PurgeNotice& purge) {
--- a/src/core/response_cache_stage.h
+++ b/src/core/response_cache_stage.h
@@ -5,7 +5,6 @@
 #include "cache/response_cache.h"
 #include "core/active_request.h"
 #include "core/counters.h"
-#include "core/purge_coverage.h"
 #include "core/purges.h"
 
 namespace silverrail::core {
@@ -17,14 +16,19 @@
         : settings_(settings),
           longest_request_(longest_client_timeout(settings)),
           purges_(purges),
-          coverage_(purges.cleared_after()),
           counters_(counters) {}
-    void enable(cache::CacheLimits limits);
-    // Discovery's event stream was opened or interrupted; the events in between may be received at any later
-    // time. Responses are used only while it is open.
-    void set_discovery_connected(bool connected, Time now);
-    // Purges issued until now may still be missing, or were lost.
-    void purges_missed(Time now);
+    void enable(cache::CacheLimits limits) {
+        cache_.emplace(
+            settings_.classes, limits,
+            cache::PurgeCoverage{settings_.purge_effective_within, settings_.purge_complete_within});
+    }
+    // Null: the cache is disabled.
+    cache::PurgeCoverage* coverage() {
+        return cache_ ? &cache_->coverage() : nullptr;
+    }
+    std::uint64_t withheld() const {
+        return cache_ ? cache_->withheld() : 0;
+    }
     void set_capacity(std::size_t bytes);
 
     // `unix_ms`: upper bound of the current Unix time in ms, so that no response's age is underestimated.
@@ -36,7 +40,6 @@
     void purge(const PurgeNotice& purge);
 
 private:
-    void discard_responses();
     // Absent: the request must not be answered from the cache.
     std::optional<cache::Lookup> lookup_of(const ClientRequest& request, std::size_t class_index) const;
     std::optional<ClientResponse> response_from(std::optional<cache::Hit> hit);
@@ -44,7 +47,6 @@
     const routing::Settings& settings_;
     const Span longest_request_;
     const Purges& purges_;
-    PurgeCoverage coverage_;
     Counters& counters_;
     std::optional<cache::ResponseCache> cache_;
 };
--- a/src/net/discovery_watch.cpp
+++ b/src/net/discovery_watch.cpp
@@ -21,8 +21,10 @@
 constexpr std::chrono::milliseconds kMaxResponseTime{10'000};
 constexpr std::size_t kMaxUnanswered = 2;
 
-// A connection that delivers a line later than this after its response header is stable.
-constexpr std::chrono::milliseconds kMinStableTime{300};
+// Missed events usually follow right after the response header, so a stream counts as live with the first
+// line that arrives later than this. It proves nothing: missed events may arrive at any later time. Counted
+// from the response header and not from the request, as a slow response would use the time up.
+constexpr std::chrono::milliseconds kUsualCatchUpTime{300};
 
 // Only bounds the plausible age of an event. A server that is slower makes its late events look implausible,
 // which is the safe side.
@@ -81,7 +83,7 @@
     if (server == server_)
         return;
     server_ = server;
-    set_connected(false);
+    set_interrupted();
     // Closed at once, even in the middle of an event: the old server may keep the connection open and send
     // nothing more.
     if (const auto old = std::exchange(current_, nullptr))
@@ -163,7 +165,6 @@
     close_all(std::exchange(unanswered_, {}));
     log_.line("discovery-up", "resuming after event %lld", static_cast<long long>(last_event_));
     connection->response_header_at = std::chrono::steady_clock::now();
-    set_connected(true);
     restart_silence_timer(connection);
     read_events(connection);
 }
@@ -226,10 +227,15 @@
 
 void DiscoveryWatch::on_line(const ConnectionPointer& connection) {
     restart_silence_timer(connection);
+    const auto now = std::chrono::steady_clock::now();
+    if (now < connection->response_header_at + kUsualCatchUpTime)
+        return;
     // Not earlier: otherwise a server that closes each connection early would be reconnected to without
     // delay.
-    if (std::chrono::steady_clock::now() >= connection->response_header_at + kMinStableTime)
-        backoff_.reset();
+    backoff_.reset();
+    last_line_ = now;
+    if (!live_)
+        set_live(connection->response_header_at);
 }
 
 void DiscoveryWatch::restart_silence_timer(const ConnectionPointer& connection) {
@@ -243,7 +249,7 @@
 void DiscoveryWatch::fail(const ConnectionPointer& connection, const char* reason) {
     if (std::exchange(connection->closed, true))
         return;
-    set_connected(false);
+    set_interrupted();
     log_.line("discovery-down", "%s; last event %lld", reason, static_cast<long long>(last_event_));
     connection->close();
     // Another connection is already open, opening or scheduled.
@@ -254,22 +260,26 @@
     reconnect_after_backoff();
 }
 
-void DiscoveryWatch::set_connected(bool connected) {
-    if (!connected && !stream_open_)
+void DiscoveryWatch::set_live(std::chrono::steady_clock::time_point opened) {
+    live_ = true;
+    live_since_ = last_line_;
+    if (on_live_)
+        on_live_(opened);
+}
+
+void DiscoveryWatch::set_interrupted() {
+    if (!live_)
         return;
-    const auto now = std::chrono::steady_clock::now();
-    if (connected)
-        stream_opened_at_ = now;
     // Otherwise events from before the previous interruption may still be missing.
-    else if (is_catch_up_over(now))
-        interrupted_at_ = now;
-    stream_open_ = connected;
-    if (on_connected_)
-        on_connected_(connected);
+    if (is_catch_up_over(last_line_))
+        interrupted_at_ = last_line_;
+    live_ = false;
+    if (on_interrupted_)
+        on_interrupted_(last_line_);
 }
 
 bool DiscoveryWatch::is_catch_up_over(std::chrono::steady_clock::time_point now) const {
-    return stream_open_ && now > stream_opened_at_ + kMaxCatchUpTime;
+    return live_ && now > live_since_ + kMaxCatchUpTime;
 }
 
 std::chrono::steady_clock::duration DiscoveryWatch::max_event_delay() const {
--- a/src/net/discovery_watch.h
+++ b/src/net/discovery_watch.h
@@ -31,10 +31,15 @@
     DiscoveryWatch(asio::io_context& io, tcp::endpoint server, std::int64_t last_event, EventHandler on_event,
                    Log& log, std::uint64_t seed);
     ~DiscoveryWatch();
-    // `action` is called whenever the stream is opened or interrupted. An open stream first delivers the
-    // events that were missed. Nothing in it tells when it has delivered the last of them.
-    void when_connected(std::function<void(bool connected)> action) {
-        on_connected_ = std::move(action);
+    // `action` is called, with the arrival of the response header, when the stream has been open for long
+    // enough that missed events have usually been delivered. Nothing in the stream tells whether they all
+    // have been.
+    void when_live(std::function<void(std::chrono::steady_clock::time_point opened)> action) {
+        on_live_ = std::move(action);
+    }
+    // `action` is called when a live stream is interrupted, with the arrival of its last complete line.
+    void when_interrupted(std::function<void(std::chrono::steady_clock::time_point last_line)> action) {
+        on_interrupted_ = std::move(action);
     }
     // `action` is called when events are skipped for good, as the server has left them out, or sent them in
     // an unreadable form, twice.
@@ -57,7 +62,7 @@
         return counters_;
     }
     // Upper bound of the time for which an event that arrives now was withheld by an interruption. Missed
-    // events are expected within kMaxCatchUpTime of the response header.
+    // events are expected within kMaxCatchUpTime of the stream's becoming live.
     std::chrono::steady_clock::duration max_event_delay() const;
 
 private:
@@ -77,7 +82,8 @@
     bool refetch(const ConnectionPointer& connection, std::int64_t number, const char* reason);
     void restart_silence_timer(const ConnectionPointer& connection);
     void fail(const ConnectionPointer& connection, const char* reason);
-    void set_connected(bool connected);
+    void set_live(std::chrono::steady_clock::time_point opened);
+    void set_interrupted();
     bool is_catch_up_over(std::chrono::steady_clock::time_point now) const;
     static void close_all(const std::vector<ConnectionPointer>& connections);
 
@@ -90,10 +96,12 @@
     ConnectionPointer current_;  // the one that is read or being opened; null: waiting to reconnect
     std::vector<ConnectionPointer> unanswered_;  // earlier ones still without a response, oldest first
     Backoff backoff_;
-    std::function<void(bool)> on_connected_;
+    std::function<void(std::chrono::steady_clock::time_point)> on_live_;
+    std::function<void(std::chrono::steady_clock::time_point)> on_interrupted_;
     std::function<void()> on_events_lost_;
-    bool stream_open_ = false;
-    std::chrono::steady_clock::time_point stream_opened_at_{};
+    bool live_ = false;
+    std::chrono::steady_clock::time_point live_since_{};
+    std::chrono::steady_clock::time_point last_line_{};
     std::chrono::steady_clock::time_point interrupted_at_ = std::chrono::steady_clock::now();
     // The last event that was requested again; if it is bad twice, it is skipped.
     std::int64_t refetched_event_ = 0;
