Judge only purges from the stream as late, not those known at the start

Cause: a purge in the configuration may be of any age, and says nothing about the stream. One that was over 7.5 s older than another made the router keep no own copies for the first 6.1 s.

Change: note_if_late applies to events with a bound on their age, with the proven age that is computed there already.

--- a/src/core/discovery_updates.cpp
+++ b/src/core/discovery_updates.cpp
@@ -103,18 +103,19 @@
     Span age = state_.unix_time.min_age(now, purge.issued_ms);
     if (age > max_age)
         ++state_.counters.clock_doubts;
-    if (max_age < Span::max())
+    const bool known_at_start = max_age == Span::max();
+    if (!known_at_start) {
         age = state_.unix_time.proven_age(now, purge.issued_ms);
+        note_if_late(age, now);
+    }
     state_.purges.add(purge, now);
     cache_.purge(purge);
-    note_if_late(purge, now);
     routing_.notify(routing::Purge{purge.object, purge.group, age}, {.purge = &purge});
 }
 
 // Guards rule 5 (no purged copy): events arrive in order, so a purge that is told so late shows that the
 // stream is behind, and that others which must have taken effect by now may still come.
-void DiscoveryUpdates::note_if_late(const PurgeNotice& purge, Time now) {
-    const Span age = state_.unix_time.proven_age(now, purge.issued_ms);
+void DiscoveryUpdates::note_if_late(Span age, Time now) {
     if (age <= cache::PurgeCoverage::kToldWithin + state_.settings.purge_effective_within)
         return;
     ++state_.counters.purges_late;
--- a/src/core/discovery_updates.h
+++ b/src/core/discovery_updates.h
@@ -29,7 +29,7 @@
     Time started_at(const Server& server, Time now, Span max_age);
     void change_exclusions(const std::function<void()>& change);
     std::optional<Server> changed_server(const Server& server, const routing::ListedServer& before);
-    void note_if_late(const PurgeNotice& purge, Time now);
+    void note_if_late(Span age, Time now);
     void notify_routing(const ServerChange& change);
 
     EngineState& state_;
