Log why client connections are closed and how much memory is resident

Change: the phase line tells resident memory and its limit, /counters has memory.resident_bytes, and a line connection-closed gives reason, state and bytes of an unfinished request; closes of usual life are only counted.

--- a/src/app/program.cpp
+++ b/src/app/program.cpp
@@ -4,6 +4,7 @@
 
 #include "app/endpoint.h"
 #include "app/network_counters.h"
+#include "app/resident_memory.h"
 #include "app/resource_limits.h"
 #include "config/discovery_event.h"
 
@@ -19,6 +20,9 @@
 // The server list in the configuration may be of any age.
 constexpr core::Span kAnyAge = core::Span::max();
 
+constexpr std::size_t kBytesPerKilobyte = 1024;
+constexpr std::size_t kKilobytesPerMegabyte = 1024;
+
 // Idle connections closed when the process runs out of descriptors.
 constexpr std::size_t kDescriptorsToFree = 32;
 
@@ -146,8 +150,10 @@
 }
 
 void Program::on_phase(Lifecycle::Phase phase) {
-    log_.line("phase", "%s, %zu open calls, %zu client connections",
-              std::string{Lifecycle::name(phase)}.c_str(), engine_.open(), server_.connections());
+    log_.line("phase", "%s, %zu open calls, %zu client connections, %zu of %zu KB of memory",
+              std::string{Lifecycle::name(phase)}.c_str(), engine_.open(), server_.connections(),
+              resident_memory_bytes().value_or(0) / kBytesPerKilobyte,
+              config_.memory_mb * kKilobytesPerMegabyte);
     shutdown_.enter(phase);
 }
 
@@ -180,6 +186,7 @@
     std::string out = parts_.counters();
     out += client_counters(server_);
     out += event_loop_counters(server_);
+    out += counter_lines("memory", {{"resident_bytes", resident_memory_bytes().value_or(0)}});
     if (discovery_)
         out += discovery_counters(discovery_->counters());
     return out;
--- a/src/net/http_session.cpp
+++ b/src/net/http_session.cpp
@@ -327,6 +327,7 @@
     if (state_ == State::open && !by_client && first_reason != CloseReason::server_destroyed)
         ++server_.counters_.closed_unanswered;
     ++server_.counters_.closed[static_cast<std::size_t>(first_reason)];
+    log_close(first_reason);
     state_ = State::closed;
     timeout_.cancel();
     error_code ignored;
@@ -335,6 +336,33 @@
     server_.sessions_.erase(this);
 }
 
+// Closes that belong to the usual life of a connection are only counted.
+void HttpSession::log_close(CloseReason reason) {
+    switch (reason) {
+        case CloseReason::final_response_sent:
+        case CloseReason::client_disconnected:
+        case CloseReason::idle_at_shutdown:
+        case CloseReason::server_destroyed:
+        case CloseReason::count_:
+            return;
+        case CloseReason::connection_error:
+        case CloseReason::no_request:
+        case CloseReason::slow_request:
+        case CloseReason::evicted:
+        case CloseReason::malformed_request:
+        case CloseReason::write_stalled:
+            break;
+    }
+    server_.log_.line("connection-closed", "%s in state %s, %zu bytes of a request received",
+                      std::string{name_of(reason)}.c_str(), state_name().c_str(), bytes_received());
+}
+
+std::string HttpSession::state_name() const {
+    static constexpr std::array<std::string_view, 5> kNames{"reading", "open", "writing", "lingering",
+                                                            "closed"};
+    return std::string{kNames[static_cast<std::size_t>(state_)]};
+}
+
 bool HttpSession::nothing_received() {
     if (buffer_.size() > 0 || (parser_ && parser_->got_some()))
         return false;
--- a/src/net/http_session.h
+++ b/src/net/http_session.h
@@ -94,6 +94,8 @@
     bool has_pipelined_bytes();
     void read_pipelined(core::Time since);
     std::size_t bytes_received();
+    void log_close(CloseReason reason);
+    std::string state_name() const;
     void watch_for_disconnect();
     void on_readable(const error_code& error);
     void on_disconnect();
