--- a/src/app/commands.cpp
+++ b/src/app/commands.cpp
@@ -8,6 +8,7 @@
 
 #include "app/control_part.h"
 #include "app/endpoint.h"
+#include "app/memory_monitor.h"
 #include "app/program.h"
 #include "store/read_file.h"
 
@@ -88,6 +89,7 @@
     try {
         std::signal(SIGPIPE, SIG_IGN);
         block_signals();
+        configure_allocator();
         const auto program = start_program_with_retries(sources);
         if (!program)
             return kExitFailedStart;
--- a/src/app/network_counters.cpp
+++ b/src/app/network_counters.cpp
@@ -1,6 +1,7 @@
 #include "app/network_counters.h"
 
 #include "app/part.h"
+#include "app/resident_memory.h"
 
 namespace silverrail::app {
 
@@ -23,6 +24,20 @@
     return out;
 }
 
+std::string memory_counters(const limits::MemoryBudget& memory, const net::HttpServer& server) {
+    std::string out = counter_lines("memory", {{"resident_bytes", resident_memory_bytes().value_or(0)},
+                                               {"capacity_bytes", memory.capacity()},
+                                               {"reserved_bytes", memory.in_use()},
+                                               {"bodies_discarded", server.counters().bodies_discarded}});
+    for (std::size_t i = 0; i < limits::kMemoryUses; ++i) {
+        const auto use = static_cast<limits::MemoryUse>(i);
+        const std::string name{limits::name_of(use)};
+        out += counter_lines("memory", {{(name + "_bytes").c_str(), memory.in_use(use)},
+                                        {(name + "_refusals").c_str(), memory.refusals(use)}});
+    }
+    return out;
+}
+
 std::string event_loop_counters(const net::HttpServer& server) {
     const auto& loop = server.event_loop();
     const auto longest_ms = std::chrono::floor<std::chrono::milliseconds>(loop.longest_pause()).count();
--- a/src/app/program.cpp
+++ b/src/app/program.cpp
@@ -23,6 +23,9 @@
 constexpr std::size_t kBytesPerKilobyte = 1024;
 constexpr std::size_t kKilobytesPerMegabyte = 1024;
 
+// New requests are rejected while less memory than this is available.
+constexpr std::size_t kMinBytesForRequest = 64UL * 1024;
+
 // Idle connections closed when the process runs out of descriptors.
 constexpr std::size_t kDescriptorsToFree = 32;
 
@@ -41,17 +44,21 @@
       handover_(io_, presence_file(sources_, config_), log_),
       quota_(limits::quota_of(total_resources(config_, settings_), handover_.processes())),
       timers_(io_),
-      pool_(io_, pool_limits(config_, quota_), clock_, log_),
+      pool_(io_, pool_limits(config_, quota_), clock_, memory_, log_),
       engine_(config_.settings, config_.seed, config_.sockets, clock_, timers_, pool_, log_),
       platform_(engine_, lifecycle_, log_),
       server_(
-          io_, endpoint_of(config_.listen), client_limits(config_, quota_),
-          [this](const auto& session, auto request) { platform_.handle(session, std::move(request)); }, log_),
+          io_, endpoint_of(config_.listen), client_limits(config_, quota_), front::kRequestFields,
+          [this](const auto& session, auto request) { platform_.handle(session, std::move(request)); },
+          memory_, log_),
+      memory_monitor_(memory_dependencies()),
       parts_(part_dependencies()),
       signals_(io_, signal_actions()),
       shutdown_(shutdown_dependencies(), config_.settings),
       reloader_(io_, sources_, config_, settings_, log_) {
     engine_.enable_response_cache(cache_limits(config_, quota_));
+    engine_.set_memory_check([this] { return memory_.available() >= kMinBytesForRequest; });
+    memory_monitor_.set_limits(quota_.memory_bytes, quota_.cache_bytes);
     if (const auto processes = handover_.processes(); processes > 1)
         on_process_count(processes);
     handover_.on_change([this](std::size_t processes) { on_process_count(processes); });
@@ -86,6 +93,17 @@
                 }};
 }
 
+MemoryMonitor::Dependencies Program::memory_dependencies() {
+    return {.io = io_,
+            .budget = memory_,
+            .cache_bytes = [this] { return engine_.cache_bytes(); },
+            .set_cache_bytes = [this](std::size_t bytes) { engine_.set_cache_capacity(bytes); },
+            .release_memory =
+                [this](std::size_t bytes) {
+                    server_.release_memory(bytes);
+                }};
+}
+
 GracefulShutdown::Dependencies Program::shutdown_dependencies() {
     return {.io = io_,
             .clock = clock_,
@@ -145,6 +163,7 @@
 void Program::on_process_count(std::size_t processes) {
     quota_ = limits::quota_of(total_resources(config_, settings_), processes);
     engine_.set_process_share(processes, quota_.cache_bytes);
+    memory_monitor_.set_limits(quota_.memory_bytes, quota_.cache_bytes);
     pool_.limit_connections(quota_.server_connections);
     server_.limit_connections(quota_.client_connections);
 }
@@ -186,9 +205,9 @@
     std::string out = parts_.counters();
     out += client_counters(server_);
     out += event_loop_counters(server_);
-    out += counter_lines("memory", {{"resident_bytes", resident_memory_bytes().value_or(0)}});
     if (discovery_)
         out += discovery_counters(discovery_->counters());
+    out += memory_counters(memory_, server_);
     return out;
 }
 
--- a/src/app/program.h
+++ b/src/app/program.h
@@ -6,6 +6,7 @@
 #include "app/config_reload.h"
 #include "app/graceful_shutdown.h"
 #include "app/handover.h"
+#include "app/memory_monitor.h"
 #include "app/optional_parts.h"
 #include "app/settings_sources.h"
 #include "app/signals.h"
@@ -36,6 +37,7 @@
     OptionalParts::Dependencies part_dependencies();
     SignalActions signal_actions();
     GracefulShutdown::Dependencies shutdown_dependencies();
+    MemoryMonitor::Dependencies memory_dependencies();
 
     void start_discovery();
     void observe_discovery(cache::PurgeCoverage& coverage);
@@ -55,6 +57,7 @@
     net::asio::io_context io_{1};
     Handover handover_;
     limits::ProcessQuota quota_;
+    limits::MemoryBudget memory_;
     net::SystemClock clock_;
     net::TimerQueue timers_;
     net::ConnectionPool pool_;
@@ -62,6 +65,7 @@
     core::Engine engine_;
     front::Platform platform_;
     net::HttpServer server_;
+    MemoryMonitor memory_monitor_;
     OptionalParts parts_;
     SignalDispatcher signals_;
     GracefulShutdown shutdown_;
--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -50,9 +50,10 @@
         ++state_.counters.unfit;
         return failed(false);
     }
-    if (!admission_.admits(state_.requests.size())) {
+    if (request.body_discarded || !admission_.admits(state_.requests.size())) {
         ++state_.counters.not_admitted;
-        state_.log.line("admission-rejected", "%zu requests are open", state_.requests.size());
+        state_.log.line("admission-rejected", "%zu requests are open%s", state_.requests.size(),
+                        request.body_discarded ? ", no memory for the body" : "");
         return rejected(kNotAdmittedRetryAfter, false);
     }
     return cache_.fresh_response(request, *class_index, now, state_.read_unix_time(now).latest_ms(now));
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -98,6 +98,16 @@
     }
     // The number of processes that act as one router, and the capacity of this process's response cache.
     void set_process_share(std::size_t processes, std::size_t cache_bytes);
+    void set_cache_capacity(std::size_t bytes) {
+        cache_.set_capacity(bytes);
+    }
+    std::size_t cache_bytes() const {
+        return cache_.bytes();
+    }
+    // New requests are rejected while `has_memory` returns false.
+    void set_memory_check(std::function<bool()> has_memory) {
+        admission_.set_memory_check(std::move(has_memory));
+    }
     // Null: no observer. The observer must outlive the engine or be removed.
     void set_observer(Observer* observer) {
         state_.observer = observer;
--- a/src/core/response_cache_stage.h
+++ b/src/core/response_cache_stage.h
@@ -26,6 +26,9 @@
     cache::PurgeCoverage* coverage() {
         return cache_ ? &cache_->coverage() : nullptr;
     }
+    std::size_t bytes() const {
+        return cache_ ? cache_->bytes() : 0;
+    }
     std::uint64_t withheld() const {
         return cache_ ? cache_->withheld() : 0;
     }
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -41,6 +41,7 @@
     Time deadline{};
     bool write = false;
     std::shared_ptr<const std::string> body;  // of a write, else null
+    bool body_discarded = false;              // for lack of memory; the request cannot be forwarded
     std::string client_tag;       // entity tag of the client's cached copy, without quotes; empty: none
     std::string idempotency_key;  // lets servers deduplicate retries; empty: none
     bool redirected = false;      // the client only wants a server's address and connects to it itself
--- a/src/front/platform/platform.cpp
+++ b/src/front/platform/platform.cpp
@@ -30,6 +30,8 @@
 constexpr const char* kExpectedKb = "Reserve-Kb";
 constexpr const char* kIdempotencyKey = "Replay-Key";
 
+constexpr const char* kClientTag = "If-None-Match";
+
 // Response headers.
 constexpr const char* kRetryAfterMs = "Hold-Off-Ms";
 
@@ -145,6 +147,9 @@
 
 }  // namespace
 
+const std::array<std::string_view, 6> kRequestFields{kRequestId,  kTimeoutMs,      kPurgeGroup,
+                                                     kExpectedKb, kIdempotencyKey, kClientTag};
+
 std::variant<core::ClientRequest, RequestError> parse_request(net::HttpRequest request, core::Time arrived) {
     core::ClientRequest client_request;
     if (request.method() != http::verb::get && request.method() != http::verb::put)
@@ -166,7 +171,7 @@
     if (!key)
         return RequestError{"Replay-Key: not exactly one key of 1 to 128 printable ASCII characters"};
     client_request.idempotency_key = *key;
-    client_request.client_tag = unquoted_tag(to_string_view(request[http::field::if_none_match]));
+    client_request.client_tag = unquoted_tag(to_string_view(request[kClientTag]));
     client_request.write = request.method() == http::verb::put;
     if (client_request.write)
         client_request.body = std::make_shared<const std::string>(std::move(request.body()));
@@ -229,6 +234,7 @@
         return session->respond({http::status::bad_request, kHttp11});
     }
     std::get<core::ClientRequest>(parsed).client = session->client();
+    std::get<core::ClientRequest>(parsed).body_discarded = session->body_discarded();
     const auto id =
         engine_.submit(std::get<core::ClientRequest>(std::move(parsed)), std::make_shared<Reply>(session));
     if (id)
--- a/src/front/platform/platform.h
+++ b/src/front/platform/platform.h
@@ -2,6 +2,7 @@
 // HTTP responses. All routing decisions are made by the core.
 #pragma once
 
+#include <array>
 #include <functional>
 #include <string>
 #include <variant>
@@ -12,6 +13,9 @@
 
 namespace silverrail::front {
 
+// The header fields of a request that the platform's protocol defines.
+extern const std::array<std::string_view, 6> kRequestFields;
+
 // Why a request does not follow the platform's protocol. Logged, not sent to the client.
 struct RequestError {
     std::string reason;
--- a/src/limits/process_quota.cpp
+++ b/src/limits/process_quota.cpp
@@ -20,6 +20,14 @@
 // 1/8 of the memory is for the response cache; small routers need the rest for responses in flight
 // (docs/capacity.md, Core).
 constexpr std::size_t kCacheDivisor = 8;
+// Resident memory stays under nine tenths of the limit; the rest of this is for what is used between two
+// measurements.
+constexpr std::size_t kMemoryPercent = 85;
+// With a control address, a second process may be started at any time; this is what it takes at its start.
+constexpr std::size_t kSuccessorBytes = 8UL * 1024 * 1024;
+constexpr std::size_t kMaxSuccessorPercent = 25;
+// A client's connection with an incomplete request, twice over.
+constexpr std::size_t kBytesPerClient = 40UL * 1024;
 
 // Descriptors of a process that are not available for connections to clients and servers.
 std::size_t reserved_descriptors(const RouterLimits& limits, std::size_t control_connections) {
@@ -27,6 +35,13 @@
     const std::size_t control = limits.control_address ? control_connections + 1 : 0;
     return kFixedDescriptors + limits.part_descriptors + control;
 }
+
+std::size_t memory_of(const RouterLimits& limits, std::size_t processes) {
+    const std::size_t usable = limits.memory_bytes / 100 * kMemoryPercent;
+    if (processes > 1 || !limits.control_address)
+        return usable / processes;
+    return usable - std::min(kSuccessorBytes, limits.memory_bytes / 100 * kMaxSuccessorPercent);
+}
 }  // namespace
 
 ProcessQuota quota_of(const RouterLimits& limits, std::size_t processes) {
@@ -40,7 +55,10 @@
     const std::size_t left = descriptors > reserved ? descriptors - reserved : 0;
     const std::size_t clients = std::min(descriptors / kClientsDivisor + kClosingConnections / processes,
                                          left * kClientsPercentOfLeft / 100);
-    quota.client_connections = std::max(kMinConnections, clients);
+    quota.memory_bytes = memory_of(limits, processes);
+    const std::size_t clients_in_memory =
+        limits.memory_bytes == 0 ? clients : limits.memory_bytes / processes / kBytesPerClient;
+    quota.client_connections = std::max(kMinConnections, std::min(clients, clients_in_memory));
     quota.server_connections = std::max(kMinConnections, left - std::min(left, quota.client_connections));
     quota.cache_bytes = limits.memory_bytes / kCacheDivisor / processes;
     return quota;
--- a/src/limits/process_quota.h
+++ b/src/limits/process_quota.h
@@ -17,7 +17,8 @@
     std::size_t client_connections = 0;
     std::size_t server_connections = 0;
     std::size_t control_connections = 0;  // at the control address
-    std::size_t cache_bytes = 0;          // for the response cache
+    std::size_t memory_bytes = 0;         // of resident memory; 0: unknown
+    std::size_t cache_bytes = 0;          // of it, for the response cache
 };
 
 // `processes`: the number of processes that run as this router, including this one.
--- a/src/net/connection_pool.cpp
+++ b/src/net/connection_pool.cpp
@@ -76,8 +76,8 @@
 };
 
 ConnectionPool::ConnectionPool(asio::io_context& io, ConnectionPoolLimits limits, const core::Clock& clock,
-                               Log& log)
-    : io_(io), limits_(limits), clock_(clock), log_(log), expiry_timer_(io) {
+                               limits::MemoryBudget& memory, Log& log)
+    : io_(io), limits_(limits), clock_(clock), memory_(memory), log_(log), expiry_timer_(io) {
     close_expired();
 }
 
@@ -211,10 +211,10 @@
                                                 on_exchange_done(alive, std::move(result));
                                         }};
     attempt->exchange =
-        std::make_shared<HttpExchange>(attempt->connection, limits_.response, std::move(handlers));
+        std::make_shared<HttpExchange>(attempt->connection, limits_.response, std::move(handlers), memory_);
     const core::Span remaining = attempt->request.deadline - clock_.now();
-    const bool client_has_copy = !attempt->request.client_request->client_tag.empty();
-    attempt->exchange->start(server_request(attempt->request, *max_age, remaining), client_has_copy);
+    attempt->exchange->start(server_request(attempt->request, *max_age, remaining),
+                             attempt->request.client_request);
 }
 
 // After an error the server may have run the request, so it is never sent again here, not even if the
@@ -273,6 +273,7 @@
         return;
     }
     connection->buffer.clear();
+    connection->buffer.shrink_to_fit();
     connection->idle_since = clock_.now();
     connection->idle = true;
     server->idle.push_back(connection);
--- a/src/net/connection_pool.h
+++ b/src/net/connection_pool.h
@@ -29,7 +29,9 @@
 
 class ConnectionPool : public core::AttemptSender {
 public:
-    ConnectionPool(asio::io_context& io, ConnectionPoolLimits limits, const core::Clock& clock, Log& log);
+    // `memory` holds the responses that are being read. All references must outlive the pool.
+    ConnectionPool(asio::io_context& io, ConnectionPoolLimits limits, const core::Clock& clock,
+                   limits::MemoryBudget& memory, Log& log);
     ~ConnectionPool() override;
 
     void start(core::AttemptRequest request, core::AttemptEvents& events) override;
@@ -82,6 +84,7 @@
     asio::io_context& io_;
     ConnectionPoolLimits limits_;
     const core::Clock& clock_;
+    limits::MemoryBudget& memory_;
     Log& log_;
     asio::steady_timer expiry_timer_;
     std::map<core::ServerId, std::shared_ptr<Server>> servers_;
--- a/src/net/http_exchange.h
+++ b/src/net/http_exchange.h
@@ -1,11 +1,13 @@
 // One request and its response on an open connection to a server. The response is limited in size and read
-// completely before it is reported.
+// completely before it is reported. Reading pauses while there is no memory for more of it.
 #pragma once
 
 #include <functional>
 #include <memory>
 #include <optional>
 
+#include "limits/memory_budget.h"
+#include "net/message_parser.h"
 #include "net/server_connection.h"
 #include "net/server_protocol.h"
 
@@ -32,13 +34,13 @@
         std::function<void(Result)> done;
     };
 
-    HttpExchange(std::shared_ptr<ServerConnection> connection, ResponseLimits limits, Handlers handlers);
-    // `accepts_not_modified`: the client has a copy, so 304 is a valid response.
-    void start(ServerRequest request, bool accepts_not_modified);
+    // `memory` must outlive the exchange.
+    HttpExchange(std::shared_ptr<ServerConnection> connection, ResponseLimits limits, Handlers handlers,
+                 limits::MemoryBudget& memory);
+    // `client_request` is kept until the request has been written, as it owns the body.
+    void start(ServerRequest request, std::shared_ptr<const core::ClientRequest> client_request);
     // `done` is not called from now on. The connection stays open; the caller closes it.
-    void cancel() {
-        finished_ = true;
-    }
+    void cancel();
 
 private:
     void write();
@@ -46,16 +48,21 @@
     void read_header();
     void on_header(const error_code& error);
     void read_body();
+    void wait_for_memory();
     void on_body(const error_code& error);
+    void report_response();
     void finish(Result result);
 
     const std::shared_ptr<ServerConnection> connection_;
     const ResponseLimits limits_;
     Handlers handlers_;
     ServerRequest request_;
-    std::optional<http::response_parser<http::string_body>> parser_;
+    std::shared_ptr<const core::ClientRequest> client_request_;
+    limits::MemoryReservation memory_;
+    asio::steady_timer memory_timer_;
+    std::optional<ResponseParser> parser_;
     int interim_responses_ = 0;
-    bool accepts_not_modified_ = false;
+    bool accepts_not_modified_ = false;  // the client has a copy
     bool request_written_ = false;
     bool finished_ = false;
 };
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -5,12 +5,20 @@
 
 namespace silverrail::net {
 
-HttpServer::HttpServer(asio::io_context& io, const tcp::endpoint& at, HttpLimits limits, Handler handler,
-                       Log& log)
+namespace {
+// A client that writes without interruption has sent its body by then, so that an older incomplete request
+// is the one of a slow client.
+constexpr std::chrono::milliseconds kUsualBodyTime{500};
+}  // namespace
+
+HttpServer::HttpServer(asio::io_context& io, const tcp::endpoint& at, HttpLimits limits,
+                       FieldNames stored_fields, Handler handler, limits::MemoryBudget& memory, Log& log)
     : listener_(io, at, limits.port, log),
       loop_monitor_(io),
       limits_(limits),
+      stored_fields_(stored_fields),
       handler_(std::move(handler)),
+      memory_(memory),
       log_(log) {}
 
 HttpServer::~HttpServer() {
@@ -52,6 +60,72 @@
     return true;
 }
 
+// Reserves memory for the body of the session's request, at the cost of the requests of slow clients.
+// Returns false if there is none.
+bool HttpServer::reserve_for_body(const HttpSession& session, limits::MemoryReservation& reservation,
+                                  std::size_t bytes) {
+    while (!reservation.try_resize(bytes)) {
+        const auto oldest = oldest_incomplete_body();
+        const bool from_slow_client =
+            oldest && oldest->request_began() < std::chrono::steady_clock::now() - kUsualBodyTime;
+        if (!from_slow_client || oldest.get() == &session) {
+            ++counters_.bodies_discarded;
+            reservation.resize(0);
+            return false;
+        }
+        discard_body(*oldest);
+    }
+    return true;
+}
+
+std::shared_ptr<HttpSession> HttpServer::oldest_incomplete_body() const {
+    std::shared_ptr<HttpSession> oldest;
+    for (const auto& [session, weak] : sessions_) {
+        const auto alive = weak.lock();
+        if (!alive || alive->incomplete_body_bytes() == 0)
+            continue;
+        if (!oldest || alive->request_began() < oldest->request_began())
+            oldest = alive;
+    }
+    return oldest;
+}
+
+void HttpServer::discard_body(HttpSession& session) {
+    log_.line("body-discarded",
+              "%zu bytes of an incomplete request, as %zu of %zu bytes of memory are in use",
+              session.incomplete_body_bytes(), memory_.in_use(), memory_.capacity());
+    ++counters_.bodies_discarded;
+    session.discard_body();
+}
+
+void HttpServer::release_memory(std::size_t bytes) {
+    while (memory_.excess(limits::MemoryUse::request_bodies) > 0) {
+        const auto oldest = oldest_incomplete_body();
+        if (!oldest)
+            break;
+        discard_body(*oldest);
+    }
+    const auto stalled_since = std::chrono::steady_clock::now() - limits_.write_stall_without_memory;
+    while (memory_.available() < bytes) {
+        const auto longest = longest_stalled_writer();
+        if (!longest || *longest->response_progress() > stalled_since)
+            break;
+        longest->close(CloseReason::write_stalled);
+    }
+}
+
+std::shared_ptr<HttpSession> HttpServer::longest_stalled_writer() const {
+    std::shared_ptr<HttpSession> longest;
+    for (const auto& [session, weak] : sessions_) {
+        const auto alive = weak.lock();
+        if (!alive || !alive->response_progress())
+            continue;
+        if (!longest || *alive->response_progress() < *longest->response_progress())
+            longest = alive;
+    }
+    return longest;
+}
+
 void HttpServer::limit_connections(std::size_t max) {
     limits_.connections = max;
     while (sessions_.size() > max && evict_connection()) {}
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 
+#include "limits/memory_budget.h"
 #include "log/log.h"
 #include "net/asio.h"
 #include "net/event_loop_monitor.h"
@@ -30,8 +31,9 @@
     std::size_t read_ahead = 8UL * 1024;                      // bytes read after the open request
     std::chrono::milliseconds disconnect_check_interval{40};  // while the read-ahead is full
     std::chrono::milliseconds write_stall_timeout{6'000};     // without any progress in writing a response
-    std::chrono::milliseconds write_timeout{60'000};          // for a whole response
-    std::chrono::milliseconds linger_timeout{500};            // for discarding input after the last response
+    std::chrono::milliseconds write_stall_without_memory{1'000};  // the same, while memory is short
+    std::chrono::milliseconds write_timeout{60'000};              // for a whole response
+    std::chrono::milliseconds linger_timeout{500};  // for discarding input after the last response
     std::size_t max_linger_bytes = 1UL << 20;
     Listener::Port port = Listener::Port::exclusive;
 };
@@ -39,6 +41,7 @@
 struct HttpCounters {
     std::array<std::uint64_t, kCloseReasons> closed{};
     std::uint64_t read_ahead_full = 0;               // open requests after which the read-ahead filled up
+    std::uint64_t bodies_discarded = 0;              // for lack of memory
     std::uint64_t disconnected_before_handling = 0;  // requests whose client had left when they were complete
     // Violations: a connection closed without a response to its open request although the client had not
     // disconnected; a second response to one request.
@@ -53,14 +56,19 @@
 public:
     using Handler = std::function<void(std::shared_ptr<HttpSession>, HttpRequest)>;
 
-    // Binds at once; throws boost::system::system_error if it cannot.
-    HttpServer(asio::io_context& io, const tcp::endpoint& at, HttpLimits limits, Handler handler, Log& log);
+    // Binds at once; throws boost::system::system_error if it cannot. Of a request's header, only the fields
+    // in `stored_fields` are passed to `handler`. `stored_fields` and `memory` must outlive the server.
+    HttpServer(asio::io_context& io, const tcp::endpoint& at, HttpLimits limits, FieldNames stored_fields,
+               Handler handler, limits::MemoryBudget& memory, Log& log);
     ~HttpServer();
     void start() {
         listener_.start([this](tcp::socket socket) { admit(std::move(socket)); });
     }
     // Changes the limit on open connections, and evicts connections without an open request that exceed it.
     void limit_connections(std::size_t max);
+    // Discards bodies of incomplete requests, those that began first, while `memory` is exceeded. Closes
+    // connections whose clients have stopped reading a response, while less than `bytes` are available.
+    void release_memory(std::size_t bytes);
     // Accepts the connections in the backlog and no more; each open connection is closed after its next
     // response.
     void stop_accepting();
@@ -94,12 +102,19 @@
     friend class HttpSession;
     void admit(tcp::socket socket);
     bool evict_connection();
+    bool reserve_for_body(const HttpSession& session, limits::MemoryReservation& reservation,
+                          std::size_t bytes);
+    std::shared_ptr<HttpSession> oldest_incomplete_body() const;
+    void discard_body(HttpSession& session);
+    std::shared_ptr<HttpSession> longest_stalled_writer() const;
 
     Listener listener_;
     EventLoopMonitor loop_monitor_;
     HttpCounters counters_;
     HttpLimits limits_;
+    FieldNames stored_fields_;
     Handler handler_;
+    limits::MemoryBudget& memory_;
     Log& log_;
     std::map<HttpSession*, std::weak_ptr<HttpSession>> sessions_;
     std::array<char, 16UL * 1024> discarded_{};  // receives the input that is discarded while lingering
--- a/src/net/http_session.cpp
+++ b/src/net/http_session.cpp
@@ -14,6 +14,8 @@
     "slow_request",  "evicted",     "unreadable", "write_stalled", "shut_down"};
 // During a longer write the next request may have arrived and have been kept waiting.
 constexpr std::chrono::milliseconds kMaxShortWrite{20};
+// What a connection takes besides its buffers: its state, pending operations and, while open, its request.
+constexpr std::size_t kBytesPerConnection = 4096;
 }  // namespace
 
 std::string_view name_of(CloseReason reason) {
@@ -25,7 +27,11 @@
       server_(server),
       buffer_(server.limits_.unparsed),
       timeout_(socket_.get_executor()),
+      connection_memory_(server.memory_, limits::MemoryUse::client_connections),
+      request_memory_(server.memory_, limits::MemoryUse::request_bodies),
+      response_memory_(server.memory_, limits::MemoryUse::client_responses),
       since_(std::chrono::steady_clock::now()) {
+    connection_memory_.resize(kBytesPerConnection);
     error_code error;
     if (const auto at = socket_.remote_endpoint(error); !error)
         client_ = client_address(at.address());
@@ -64,7 +70,10 @@
     state_ = State::reading;
     unread_grace_used_ = false;
     bytes_seen_ = 0;
-    parser_.emplace();
+    body_discarded_ = false;
+    parser_.emplace(server_.stored_fields_, [this](std::size_t body_bytes) {
+        return server_.reserve_for_body(*this, request_memory_, body_bytes);
+    });
     parser_->header_limit(server_.limits_.header);
     parser_->body_limit(server_.limits_.body);
     buffered_at_start_ = buffer_.size();
@@ -73,7 +82,7 @@
     if (buffered_at_start_ > 0)
         return on_first_byte();
     // An idle connection holds no buffer, and has no timeout after its first request.
-    buffer_.shrink_to_fit();
+    release_unused_buffer();
     socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](const error_code& error) {
         if (self->state_ != State::reading)
             return;
@@ -84,29 +93,59 @@
 }
 
 void HttpSession::on_first_byte() {
+    request_began_ = std::chrono::steady_clock::now();
+    consumed_ = 0;
     if (!first_request_)
         set_timeout(server_.limits_.request_timeout, &HttpSession::on_request_timeout);
-    // Reads the header separately: if it is read together with the body, Beast 1.74 loses the error of a
-    // length over the limit.
-    http::async_read_header(socket_, buffer_, *parser_,
-                            [self = shared_from_this()](const error_code& error, std::size_t consumed) {
-                                self->on_head(error, consumed);
-                            });
+    // The header is parsed separately: if it is parsed together with the body, Beast 1.74 loses the error of
+    // a length over the limit.
+    parser_->eager(false);
+    read_some();
+}
+
+void HttpSession::read_some() {
+    http::async_read_some(socket_, buffer_, *parser_,
+                          [self = shared_from_this()](const error_code& error, std::size_t consumed) {
+                              self->consumed_ += consumed;
+                              self->on_some(error);
+                          });
 }
 
-void HttpSession::on_head(const error_code& error, std::size_t consumed) {
+void HttpSession::on_some(const error_code& error) {
     if (state_ != State::reading)
         return;
     if (error)
         return on_read_error(error);
+    if (parser_->is_header_done() && !parser_->eager() && !check_head())
+        return;
+    if (parser_->is_done())
+        return on_read();
+    wait_for_more();
+}
+
+// A request whose client has stopped holds no more than has been received of it.
+void HttpSession::wait_for_more() {
+    if (buffer_.size() > 0 && parser_->is_header_done())
+        return read_some();
+    release_unused_buffer();
+    socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](const error_code& error) {
+        if (self->state_ != State::reading)
+            return;
+        if (error)
+            return self->close(CloseReason::connection_error);
+        self->read_some();
+    });
+}
+
+// Returns false if the request has been rejected.
+bool HttpSession::check_head() {
+    parser_->eager(true);
     // Without chunked as the final transfer coding, the body's length is undefined, and another request could
     // be smuggled in it.
-    if (parser_->get().count(http::field::transfer_encoding) > 0 && !parser_->chunked())
-        return on_read_error(http::error::bad_transfer_encoding);
-    http::async_read(socket_, buffer_, *parser_,
-                     [self = shared_from_this(), consumed](const error_code& e, std::size_t more) {
-                         self->on_read(e, consumed + more);
-                     });
+    if (!parser_->has_transfer_encoding() || parser_->chunked())
+        return true;
+    on_read_error(http::error::bad_transfer_encoding);
+    return false;
 }
 
 // The earliest time at which the last of `consumed` bytes can have arrived. Bytes that were buffered already
@@ -118,12 +157,8 @@
     return std::min(unread_since_.value_or(seen), seen);
 }
 
-void HttpSession::on_read(const error_code& error, std::size_t consumed) {
-    if (state_ != State::reading)
-        return;
-    if (error)
-        return on_read_error(error);
-    arrived_ = arrival(consumed);
+void HttpSession::on_read() {
+    arrived_ = arrival(consumed_);
     buffered_since_ = arrived_;  // bytes after it may have arrived with it
     // No work may begin for a client that disconnected while its request was still unread.
     if (client_left()) {
@@ -133,9 +168,11 @@
     ++timeout_generation_;
     timeout_.cancel();
     first_request_ = false;
+    keep_alive_ = parser_->keep_alive();
+    body_discarded_ = parser_->body_discarded();
     HttpRequest request = parser_->release();
     parser_.reset();
-    keep_alive_ = request.keep_alive();
+    release_unused_buffer();
     state_ = State::open;
     server_.handler_(shared_from_this(), std::move(request));
     if (state_ == State::open)
@@ -152,6 +189,7 @@
     // begin.
     server_.log_.line("bad-request", "%s", error.message().c_str());
     parser_.reset();
+    request_memory_.resize(0);
     send_final_error(error == http::error::body_limit     ? http::status::payload_too_large
                      : error == http::error::header_limit ? http::status::request_header_fields_too_large
                                                           : http::status::bad_request,
@@ -218,6 +256,7 @@
         buffered_since_ = server_.loop_monitor_.earliest_arrival();
     if (got > 0)
         buffer_.commit(static_cast<std::size_t>(got));
+    account_for_buffer();
     watch_for_disconnect();
 }
 
@@ -267,6 +306,7 @@
     response.keep_alive(keep_alive_ && (!server_.accepting_stopped_ || has_pipelined_bytes()));
     keep_alive_ = response.keep_alive();
     response.prepare_payload();
+    response_memory_.resize(response.body().size());
     response_.emplace(std::move(response));
     serializer_.emplace(*response_);
     socket_.cancel();  // ends watch_for_disconnect()
@@ -276,6 +316,7 @@
 
 // A client that reads slowly gets its whole response; one that has stopped reading is disconnected.
 void HttpSession::write_some() {
+    response_progress_ = std::chrono::steady_clock::now();
     set_timeout(server_.limits_.write_stall_timeout, &HttpSession::write_stalled);
     http::async_write_some(socket_, *serializer_,
                            [self = shared_from_this()](const error_code& error, std::size_t) {
@@ -296,6 +337,8 @@
 void HttpSession::on_response_written() {
     serializer_.reset();
     response_.reset();
+    response_memory_.resize(0);
+    request_memory_.resize(0);
     if (!keep_alive_)
         return linger(CloseReason::final_response_sent);
     ++timeout_generation_;
@@ -333,9 +376,41 @@
     error_code ignored;
     socket_.shutdown(tcp::socket::shutdown_send, ignored);
     socket_.close(ignored);
+    release_memory();
     server_.sessions_.erase(this);
 }
 
+// A pending operation may keep the closed session, and with it the buffers that it uses, for a moment.
+void HttpSession::release_memory() {
+    connection_memory_.resize(0);
+    request_memory_.resize(0);
+    response_memory_.resize(0);
+}
+
+void HttpSession::account_for_buffer() {
+    connection_memory_.resize(kBytesPerConnection + buffer_.capacity());
+}
+
+void HttpSession::release_unused_buffer() {
+    buffer_.shrink_to_fit();
+    account_for_buffer();
+}
+
+std::optional<std::chrono::steady_clock::time_point> HttpSession::response_progress() const {
+    return state_ == State::writing ? std::optional{response_progress_} : std::nullopt;
+}
+
+std::size_t HttpSession::incomplete_body_bytes() const {
+    return state_ == State::reading && parser_ ? request_memory_.bytes() : 0;
+}
+
+void HttpSession::discard_body() {
+    if (!parser_ || state_ != State::reading)
+        return;
+    parser_->discard_body();
+    request_memory_.resize(0);
+}
+
 // Closes that belong to the usual life of a connection are only counted.
 void HttpSession::log_close(CloseReason reason) {
     switch (reason) {
--- a/src/net/http_session.h
+++ b/src/net/http_session.h
@@ -8,7 +8,9 @@
 
 #include "core/types.h"
 #include "limits/connection_eviction.h"
+#include "limits/memory_budget.h"
 #include "net/asio.h"
+#include "net/message_parser.h"
 #include "net/parse_buffer.h"
 #include "net/tcp_stream.h"
 
@@ -56,10 +58,24 @@
     core::Time arrived() const {
         return arrived_;
     }
+    // Whether the body of the open request was discarded for lack of memory.
+    bool body_discarded() const {
+        return body_discarded_;
+    }
     // Whether the client has closed or reset the connection, according to the socket's current state.
     bool client_left();
     void close(CloseReason reason);
     void close_if_idle();
+    // Discards what has been received of an incomplete request's body. The request is still read to its end.
+    void discard_body();
+    // Bytes of an incomplete request's body that discard_body() would free.
+    std::size_t incomplete_body_bytes() const;
+    // When the client last read a part of the response that is being written. Absent: none is.
+    std::optional<std::chrono::steady_clock::time_point> response_progress() const;
+    // When the first byte of the request that is being read was received, or later.
+    std::chrono::steady_clock::time_point request_began() const {
+        return request_began_;
+    }
 
     // Used to choose a connection to evict.
     limits::ConnectionActivity activity(std::chrono::steady_clock::time_point now);
@@ -71,8 +87,11 @@
     enum class State { reading, open, writing, lingering, closed };
     void read();
     void on_first_byte();
-    void on_head(const error_code& error, std::size_t consumed);
-    void on_read(const error_code& error, std::size_t consumed);
+    void read_some();
+    void on_some(const error_code& error);
+    void wait_for_more();
+    bool check_head();
+    void on_read();
     void on_read_error(const error_code& error);
     void linger(CloseReason reason);
     void end_linger() {
@@ -100,22 +119,32 @@
     void on_readable(const error_code& error);
     void on_disconnect();
 
+    void account_for_buffer();
+    void release_unused_buffer();
+    void release_memory();
+
     TcpStream socket_;
     core::ClientAddress client_;
     HttpServer& server_;
     ParseBuffer buffer_;
-    std::optional<http::request_parser<http::string_body>> parser_;
+    std::optional<RequestParser> parser_;
     std::optional<HttpResponse> response_;
     std::optional<http::response_serializer<http::string_body>> serializer_;
     std::function<void()> on_disconnected_;
     asio::steady_timer timeout_;
     State state_ = State::reading;
+    limits::MemoryReservation connection_memory_;
+    limits::MemoryReservation request_memory_;
+    limits::MemoryReservation response_memory_;
+    std::chrono::steady_clock::time_point request_began_{};
+    std::chrono::steady_clock::time_point response_progress_{};
     // Time of the last of these: opened, began to respond, finished responding, began to linger, made
     // progress.
     std::chrono::steady_clock::time_point since_;
     std::size_t bytes_seen_ = 0;            // of its request, at the last call of activity()
     std::uint64_t timeout_generation_ = 0;  // distinguishes the current timeout from replaced ones
     std::size_t discarded_ = 0;
+    std::size_t consumed_ = 0;           // bytes of the request that have been parsed
     std::size_t buffered_at_start_ = 0;  // bytes in the buffer when reading the request began
     core::Time buffered_since_{};        // the earliest time at which they can have arrived
     // The earliest time at which bytes still in the socket, after a full read-ahead, can have arrived; unset
@@ -124,6 +153,7 @@
     core::Time arrived_{};
     std::optional<CloseReason> close_reason_;
     bool unread_grace_used_ = false;
+    bool body_discarded_ = false;
     bool keep_alive_ = false;
     bool first_request_ = true;  // no request has been completely received yet
 };
--- a/src/net/server_connection.h
+++ b/src/net/server_connection.h
@@ -35,8 +35,11 @@
         return result >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
     }
 
+    // Of received bytes that are not parsed yet.
+    static constexpr std::size_t kBufferBytes = 16UL * 1024;
+
     TcpStream socket;
-    ParseBuffer buffer;
+    ParseBuffer buffer{kBufferBytes};
 
 private:
     std::shared_ptr<std::size_t> open_count_;
--- a/src/net/server_protocol.cpp
+++ b/src/net/server_protocol.cpp
@@ -114,6 +114,9 @@
 
 }  // namespace
 
+const std::array<std::string_view, 6> kResponseFields{kNeverRan,     kCacheStatus, kLoadReport,
+                                                      kSourceWaitMs, kTag,         kMadeAtUnixMs};
+
 CacheStatus parse_cache_status(std::string_view name) {
     return config::find_keyword(kCacheStatusNames, name).value_or(CacheStatus::none);
 }
@@ -165,7 +168,7 @@
     if (!client_request.client_tag.empty())
         request.set(kClientTag, client_request.client_tag);
     if (client_request.body)
-        request.body() = *client_request.body;
+        request.body() = {client_request.body->data(), client_request.body->size()};
     if (client_request.write)
         request.prepare_payload();
     return request;
--- a/src/net/server_protocol.h
+++ b/src/net/server_protocol.h
@@ -2,6 +2,7 @@
 // result.
 #pragma once
 
+#include <array>
 #include <string_view>
 
 #include "core/types.h"
@@ -9,13 +10,17 @@
 
 namespace silverrail::net {
 
-using ServerRequest = http::request<http::string_body>;
+// Refers to the body of its client request, which must outlive it.
+using ServerRequest = http::request<http::span_body<const char>>;
 using ServerResponse = http::response<http::string_body>;
 
 // `max_age`: of a cached object, as determined right before the first byte is sent; 0: no limit. `remaining`:
 // time until the attempt's deadline.
 ServerRequest server_request(const core::AttemptRequest& attempt, core::Span max_age, core::Span remaining);
 
+// The header fields of a response that attempt_result() reads.
+extern const std::array<std::string_view, 6> kResponseFields;
+
 // Converts a complete response to the result of its attempt.
 core::AttemptResult attempt_result(ServerResponse response);
 
