--- a/tests/silverrail/router_process.h
+++ b/tests/silverrail/router_process.h
@@ -89,6 +89,18 @@
     return tcp::acceptor{io, loopback()}.local_endpoint();
 }
 
+// Whether the process with this control address is ready.
+inline bool is_ready(asio::io_context& io, const tcp::endpoint& control) {
+    asio::io_context own;
+    tcp::socket probe{own};
+    net::error_code error;
+    probe.connect(control, error);
+    if (error)
+        return false;
+    probe.close();
+    return send_command(io, control, "HEALTH").starts_with("ACK");
+}
+
 struct ProcessOptions {
     int sockets = 256;
     int memory_mb = 64;
@@ -190,6 +202,10 @@
     void end() {
         CHECK(::kill(pid_, SIGTERM) == 0);
     }
+    void crash() {
+        CHECK(::kill(pid_, SIGKILL) == 0 && ::waitpid(pid_, nullptr, 0) == pid_);
+        pid_ = -1;
+    }
     bool ended() {
         int status = 0;
         if (pid_ > 0 && ::waitpid(pid_, &status, WNOHANG) == pid_) {
--- a/tests/silverrail/upgrade_test.cpp
+++ b/tests/silverrail/upgrade_test.cpp
@@ -87,25 +87,14 @@
     bool stopping_ = false;
 };
 
-bool says_yes(asio::io_context& io, const tcp::endpoint& control) {
-    asio::io_context own;
-    tcp::socket probe{own};
-    net::error_code error;
-    probe.connect(control, error);
-    if (error)
-        return false;
-    probe.close();
-    return send_command(io, control, "HEALTH").starts_with("ACK");
-}
-
 // Two processes of one router, as during an upgrade.
 struct TwoProcesses {
     TwoProcesses() : program{discovery.address(), server.address(), text_of(first)} {
-        run_until(io, [&] { return says_yes(io, first); });
+        run_until(io, [&] { return is_ready(io, first); });
     }
     void start_second() {
         next = program.start(text_of(second));
-        run_until(io, [&] { return says_yes(io, second); });
+        run_until(io, [&] { return is_ready(io, second); });
     }
     ~TwoProcesses() {
         CHECK(::kill(next, SIGKILL) == 0);
@@ -208,7 +197,7 @@
 struct Next {
     Next(asio::io_context& io, RouterProcess& program)
         : control(free_endpoint()), pid(program.start(text_of(control))) {
-        run_until(io, [&] { return says_yes(io, control); });
+        run_until(io, [&] { return is_ready(io, control); });
     }
     tcp::endpoint control;
     pid_t pid;
@@ -221,7 +210,7 @@
     tcp::endpoint control = free_endpoint();
     RouterProcess program{discovery.address(), server.address(), text_of(control)};
     pid_t serving = program.pid();
-    run_until(io, [&] { return says_yes(io, control); });
+    run_until(io, [&] { return is_ready(io, control); });
     Load load{io, program.at, 12};
     const auto some_answers = [&] {
         const std::size_t before = load.answered;
@@ -231,7 +220,7 @@
     for (int upgrade = 0; upgrade < 4; ++upgrade) {
         const Next next{io, program};
         some_answers();
-        CHECK(says_yes(io, control));  // both serve
+        CHECK(is_ready(io, control));  // both serve
         CHECK(::kill(serving, SIGTERM) == 0);
         run_until(io, [&] { return has_ended(serving, false); });
         some_answers();
@@ -246,7 +235,7 @@
     run_until(io, [&] { return has_ended(doomed.pid, true); });
     some_answers();
     const std::size_t lost = load.turned_back + load.unanswered + load.refused_connections;
-    CHECK(says_yes(io, control));
+    CHECK(is_ready(io, control));
     run_until(io, [&] { return program.logged("handover 1 processes of this router, 2 before"); });
 
     // The old one killed: the new one is whole.
@@ -254,7 +243,7 @@
     CHECK(::kill(serving, SIGKILL) == 0);
     run_until(io, [&] { return has_ended(serving, true); });
     some_answers();
-    CHECK(says_yes(io, last.control));
+    CHECK(is_ready(io, last.control));
     // That death cost no more than what the dead one held.
     CHECK(load.turned_back + load.unanswered + load.refused_connections <= lost + 12);
 
