--- a/src/app/program.cpp
+++ b/src/app/program.cpp
@@ -7,6 +7,7 @@
 #include "app/resident_memory.h"
 #include "app/resource_limits.h"
 #include "config/discovery_event.h"
+#include "store/executed_requests_table.h"
 
 namespace silverrail::app {
 
@@ -29,10 +30,25 @@
 // Idle connections closed when the process runs out of descriptors.
 constexpr std::size_t kDescriptorsToFree = 32;
 
-std::string presence_file(const SettingsSources& sources, const config::Config& config) {
+// A file that the processes of this router share; empty: there is none.
+std::string file_of_processes(const SettingsSources& sources, const config::Config& config,
+                              const char* extension) {
     // Only with a control address may two processes run side by side.
     return config.control.empty() ? std::string{}
-                                  : shared_file_path(sources.shared_folder, config.listen, "presence");
+                                  : shared_file_path(sources.shared_folder, config.listen, extension);
+}
+
+// Without the file, ids are remembered by each process for itself.
+std::unique_ptr<core::ExecutedRequests> open_executed_requests(const std::string& path, Log& log) {
+    try {
+        return std::make_unique<store::ExecutedRequestsTable>(path);
+    } catch (const std::exception& error) {
+        if (path.empty())
+            throw;
+        log.line("executed-requests", "%s: ids of requests are not shared with other processes",
+                 error.what());
+        return std::make_unique<store::ExecutedRequestsTable>();
+    }
 }
 
 }  // namespace
@@ -41,11 +57,12 @@
     : sources_(std::move(sources)),
       config_(std::move(config)),
       settings_(settings),
-      handover_(io_, presence_file(sources_, config_), log_),
+      handover_(io_, file_of_processes(sources_, config_, "presence"), log_),
       quota_(limits::quota_of(total_resources(config_, settings_), handover_.processes())),
       timers_(io_),
       pool_(io_, pool_limits(config_, quota_), clock_, memory_, log_),
       engine_(config_.settings, config_.seed, config_.sockets, clock_, timers_, pool_, log_),
+      executed_requests_(open_executed_requests(file_of_processes(sources_, config_, "executed"), log_)),
       platform_(engine_, lifecycle_, log_),
       server_(
           io_, endpoint_of(config_.listen), client_limits(config_, quota_), front::kRequestFields,
@@ -57,6 +74,7 @@
       shutdown_(shutdown_dependencies(), config_.settings),
       reloader_(io_, sources_, config_, settings_, log_) {
     engine_.enable_response_cache(cache_limits(config_, quota_));
+    engine_.set_executed_requests(*executed_requests_);
     engine_.set_memory_check([this] { return memory_.available() >= kMinBytesForRequest; });
     memory_monitor_.set_limits(quota_.memory_bytes, quota_.cache_bytes);
     if (const auto processes = handover_.processes(); processes > 1)
--- a/src/app/program.h
+++ b/src/app/program.h
@@ -1,6 +1,7 @@
 // The router as one object: every module wired together on one event loop and one thread.
 #pragma once
 
+#include <memory>
 #include <optional>
 
 #include "app/config_reload.h"
@@ -63,6 +64,7 @@
     net::ConnectionPool pool_;
     Lifecycle lifecycle_;
     core::Engine engine_;
+    std::unique_ptr<core::ExecutedRequests> executed_requests_;
     front::Platform platform_;
     net::HttpServer server_;
     MemoryMonitor memory_monitor_;
--- a/src/core/active_request.h
+++ b/src/core/active_request.h
@@ -27,6 +27,8 @@
     Timers::Handle deadline_timer = 0;
     std::vector<ActiveAttempt> attempts;
     std::optional<AttemptStatus> last_attempt_status{};
+    bool run_recorded = false;    // in ExecutedRequests, by this request
+    bool has_run_before = false;  // another request with its id may have run
 
     bool answered() const {
         return !sink;
--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -50,6 +50,12 @@
         ++state_.counters.unfit;
         return failed(false);
     }
+    if (has_run(request, *class_index)) {
+        ++state_.counters.unfit;
+        state_.log.line("request-repeated", "%s %s: may have run before", request.trace_id.c_str(),
+                        request.class_name.c_str());
+        return failed(false);
+    }
     if (request.body_discarded || !admission_.admits(state_.requests.size())) {
         ++state_.counters.not_admitted;
         state_.log.line("admission-rejected", "%zu requests are open%s", state_.requests.size(),
@@ -59,6 +65,12 @@
     return cache_.fresh_response(request, *class_index, now, state_.read_unix_time(now).latest_ms(now));
 }
 
+// Guards rule 2 (no repeated effect): a rejection would promise that the request never ran.
+bool Engine::has_run(const ClientRequest& request, std::size_t class_index) const {
+    return state_.is_tracked(request.trace_id, class_index) &&
+           state_.executed_requests->contains(request.trace_id);
+}
+
 void Engine::complete_at_intake(const ClientRequest& request, std::optional<std::size_t> class_index,
                                 std::shared_ptr<ResponseSink> sink, ClientResponse response) {
     ActiveRequest unopened;
@@ -112,6 +124,8 @@
         return;
     const Time now = state_.clock.now();
     const ClientRequest& client_request = *request->client_request;
+    if (request->has_run_before)
+        return complete(*request, failed(now >= client_request.deadline));
     if (!request->answered()) {
         const std::int64_t unix_ms = state_.read_unix_time(now).latest_ms(now);
         if (auto cached = cache_.last_resort_response(client_request, request->class_index, now, unix_ms))
@@ -207,6 +221,8 @@
     if (request->deadline_timer)
         state_.timers.cancel(request->deadline_timer);
     intake_.release(request->client_request->trace_id);
+    if (request->run_recorded && !state_.guard.may_have_run(id))
+        state_.executed_requests->remove(request->client_request->trace_id);
     state_.guard.forget(id);
     state_.requests.erase(id);
 }
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -108,6 +108,11 @@
     void set_memory_check(std::function<bool()> has_memory) {
         admission_.set_memory_check(std::move(has_memory));
     }
+    // From now on, a request that is not idempotent and whose id is in `executed_requests` fails. Must
+    // outlive the engine.
+    void set_executed_requests(ExecutedRequests& executed_requests) {
+        state_.executed_requests = &executed_requests;
+    }
     // Null: no observer. The observer must outlive the engine or be removed.
     void set_observer(Observer* observer) {
         state_.observer = observer;
@@ -150,6 +155,7 @@
                             std::shared_ptr<ResponseSink> sink, ClientResponse response);
     ActiveRequest& open_request(ClientRequest client_request, std::size_t class_index,
                                 std::shared_ptr<ResponseSink> sink, Time now);
+    bool has_run(const ClientRequest& request, std::size_t class_index) const;
     void deadline_passed(RequestId id);
     void fail_without_decision(ActiveRequest& request, bool timed_out);
     void complete(ActiveRequest& request, ClientResponse response);
--- a/src/core/engine_state.cpp
+++ b/src/core/engine_state.cpp
@@ -44,6 +44,11 @@
     return request && key.attempt < request->attempts.size() ? &request->attempts[key.attempt] : nullptr;
 }
 
+bool EngineState::is_tracked(const std::string& trace_id, std::size_t class_index) const {
+    return executed_requests && !trace_id.empty() &&
+           settings.classes[class_index].idempotency != routing::Idempotency::idempotent;
+}
+
 void EngineState::log_request(const char* event, const ActiveRequest& request) const {
     const auto request_state = guard.state(request.id);
     log.line(event, "%s %s: %zu attempts, state %s, last attempt %s",
--- a/src/core/engine_state.h
+++ b/src/core/engine_state.h
@@ -3,6 +3,7 @@
 
 #include "core/active_request.h"
 #include "core/counters.h"
+#include "core/executed_requests.h"
 #include "core/guard.h"
 #include "core/observer.h"
 #include "core/purges.h"
@@ -21,6 +22,8 @@
     // Null: not open, or no such attempt.
     ActiveRequest* find(RequestId id);
     ActiveAttempt* find(const AttemptKey& key);
+    // Whether a second run of the request must be prevented, also after its end.
+    bool is_tracked(const std::string& trace_id, std::size_t class_index) const;
     // Logs the request, its number of attempts, its state and the status of its last attempt.
     void log_request(const char* event, const ActiveRequest& request) const;
 
@@ -36,6 +39,7 @@
     ActiveRequests requests;
     Guard guard;
     Observer* observer = nullptr;
+    ExecutedRequests* executed_requests = nullptr;  // null: ids are not remembered
 };
 
 }  // namespace silverrail::core
--- a/src/core/forwarding.cpp
+++ b/src/core/forwarding.cpp
@@ -98,7 +98,7 @@
 }
 
 std::optional<Span> Forwarding::before_first_byte(const AttemptKey& key) {
-    const ActiveRequest* request = state_.find(key.request);
+    ActiveRequest* request = state_.find(key.request);
     const ActiveAttempt* attempt = state_.find(key);
     if (!attempt || !attempt->in_flight || !attempt->request || request->answered())
         return std::nullopt;
@@ -123,8 +123,8 @@
     return max_age;
 }
 
-Guard::FirstByteConditions Forwarding::first_byte_conditions(const ActiveRequest& request,
-                                                             const AttemptRequest& attempt, Time now) const {
+Guard::FirstByteConditions Forwarding::first_byte_conditions(ActiveRequest& request,
+                                                             const AttemptRequest& attempt, Time now) {
     Guard::FirstByteConditions conditions;
     conditions.now = now;
     conditions.deadline = attempt.deadline;
@@ -136,9 +136,23 @@
     // Guards rule 3 (drains): a server may have begun to drain while the attempt waited for its connection.
     conditions.target_usable = state_.servers.is_usable(attempt.target);
     conditions.source_usable = !attempt.source || state_.servers.is_usable(*attempt.source);
+    if (state_.is_tracked(request.client_request->trace_id, request.class_index))
+        conditions.record_run = [this, &request] {
+            return record_run(request);
+        };
     return conditions;
 }
 
+// Guards rule 2 (no repeated effect): the id may have come before, here or at the other process of an
+// upgrade.
+bool Forwarding::record_run(ActiveRequest& request) {
+    if (request.run_recorded)
+        return true;
+    request.run_recorded = state_.executed_requests->record(request.client_request->trace_id);
+    request.has_run_before = !request.run_recorded;
+    return request.run_recorded;
+}
+
 void Forwarding::log_suppression(const ActiveRequest& request, const AttemptRequest& attempt,
                                  SuppressionReason reason) const {
     state_.log.line("attempt-suppressed", "%s attempt %u to %s: %s", request.client_request->trace_id.c_str(),
--- a/src/core/forwarding.h
+++ b/src/core/forwarding.h
@@ -40,8 +40,9 @@
     void send(ActiveRequest& request, AttemptRequest attempt);
     void count_remote_zone(const AttemptRequest& attempt);
     void timed_out(const AttemptKey& key);
-    Guard::FirstByteConditions first_byte_conditions(const ActiveRequest& request,
-                                                     const AttemptRequest& attempt, Time now) const;
+    Guard::FirstByteConditions first_byte_conditions(ActiveRequest& request, const AttemptRequest& attempt,
+                                                     Time now);
+    bool record_run(ActiveRequest& request);
     void log_suppression(const ActiveRequest& request, const AttemptRequest& attempt,
                          SuppressionReason reason) const;
 
--- a/src/core/guard.cpp
+++ b/src/core/guard.cpp
@@ -128,9 +128,18 @@
     });
     if (another_in_flight)
         return SuppressionReason::another_in_flight;
+    if (conditions.record_run && !conditions.record_run())
+        return SuppressionReason::may_run_twice;
     return std::nullopt;
 }
 
+bool Guard::may_have_run(RequestId id) const {
+    const auto found = requests_.find(id);
+    return found != requests_.end() && std::ranges::any_of(found->second.attempts, [](const auto& entry) {
+               return entry.second.may_have_run;
+           });
+}
+
 std::optional<SuppressionReason> Guard::check_first_byte(const AttemptKey& key,
                                                          const FirstByteConditions& conditions) {
     Request* request = find(key.request);
--- a/src/core/guard.h
+++ b/src/core/guard.h
@@ -6,6 +6,7 @@
 
 #include <array>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -71,6 +72,9 @@
         bool client_closed = false;
         bool target_usable = true;
         bool source_usable = true;
+        // Asked last: whether the request, as identified by its client, has not run before and is recorded
+        // as run from now on. Null: need not be asked.
+        std::function<bool()> record_run{};
     };
     // Why the attempt's first byte must not be written. Absent: it may be, and the attempt is marked as sent.
     [[nodiscard]] std::optional<SuppressionReason> check_first_byte(const AttemptKey& key,
@@ -82,6 +86,8 @@
     void client_closed(RequestId id) {
         transition(id, RequestState::client_closed);
     }
+    // Whether any attempt may have run.
+    bool may_have_run(RequestId id) const;
     void forget(RequestId id) {
         requests_.erase(id);
     }
--- a/tests/memory/memory_test.cpp
+++ b/tests/memory/memory_test.cpp
@@ -232,6 +232,7 @@
     for (int i = 0; i < kCrowd; ++i)
         crowd.add(i % 2 == 0 ? incomplete_write(1700) : complete_write(0));
     f.run_for(1500ms, [] {});
+    f.timer.cancel();  // discovery's connection to the first process will end
     const pid_t next = f.program.start(text_of(free_endpoint()));
     std::size_t peak_kb = 0;
     std::size_t first_kb = 0;  // the first process's part of the peak
