--- a/tests/silverrail/faults_test.cpp
+++ b/tests/silverrail/faults_test.cpp
@@ -180,6 +180,22 @@
     CHECK(world.counter("ending_no_connection") == "0");
 }
 
+// Guards against work at a new process that has the address of one that was replaced: the server's id is
+// listed at another address while a connection to the old one is being tried.
+void server_replaced_while_connecting() {
+    World world;
+    Server moved{world.io};
+    world.faults.fail_next(CallFault::connect_no_address, 5);
+    Client client{world.io, world.program.at};
+    client.send(make_request("lodge", kObject, 3000));
+    run_until(world.io, [&] { return world.faults.delivered(CallFault::connect_no_address) > 0; });
+    world.tell("2", R"("roster":{"full":false,"servers":[)" +
+                        server_json("s-a", moved.address(), "small-box", "active") + "]}");
+    run_until(world.io, [&] { return client.done; });
+    CHECK(world.server.seen.empty());
+    CHECK(!client.broken && client.status() == 200 && moved.seen.size() == 1);
+}
+
 // The process gets no processor for a while, as on a crowded machine.
 struct Stopped {
     explicit Stopped(World& of) : world(of) {
@@ -323,7 +339,8 @@
                                    {"deadline_after_stop", deadline_after_stop},
                                    {"deadline_of_a_pipelined_request", deadline_of_a_pipelined_request},
                                    {"bans_on_a_failing_disk", bans_on_a_failing_disk},
-                                   {"local_connect_errors", local_connect_errors}};
+                                   {"local_connect_errors", local_connect_errors},
+                                   {"server_replaced_while_connecting", server_replaced_while_connecting}};
 
 }  // namespace
 
