--- a/src/cluster/membership/membership.cpp
+++ b/src/cluster/membership/membership.cpp
@@ -119,15 +119,28 @@
     out.push_back({ping.sender_address, std::move(ack)});
 }
 
+// An ack from the probed process itself, or from a helper that has checked that it was this process. A
+// restarted process of the same name must not answer for the one before it.
+bool Membership::is_ack_of_probe(const MembershipMessage& ack) const {
+    if (!probe_ || probe_->acked || ack.sequence != probe_->sequence)
+        return false;
+    if (ack.sender == probe_->target)
+        return ack.sender_start == probe_->target_start;
+    return probe_->asked_helpers;
+}
+
 void Membership::on_ack(const MembershipMessage& ack, Outgoing& out) {
-    if (probe_ && !probe_->acked && ack.sequence == probe_->sequence) {
+    if (is_ack_of_probe(ack)) {
         probe_->acked = true;
         ++counters_.acks;
         improve_local_health();
         return;
     }
     const auto relayed = relayed_probes_.find(ack.sequence);
-    if (relayed == relayed_probes_.end())
+    if (relayed == relayed_probes_.end() || ack.sender != relayed->second.target)
+        return;
+    const auto meant = relayed->second.target_start;
+    if (meant != 0 && ack.sender_start != meant)
         return;
     auto answer = make_message(MembershipMessage::Kind::ack, relayed->second.requester_sequence);
     piggyback_gossip(answer);
@@ -139,8 +152,13 @@
     if (relayed_probes_.size() >= kMaxRelayedProbes || request.target_address.empty())
         return;
     const auto sequence = ++last_sequence_;
-    relayed_probes_[sequence] = {request.sender_address, request.sequence,
-                                 now + scaled_by_local_health(settings_.probe_timeout)};
+    const auto meant = std::ranges::find_if(
+        request.records, [&](const MemberRecord& record) { return record.identity.name == request.target; });
+    relayed_probes_[sequence] = {.requester_address = request.sender_address,
+                                 .requester_sequence = request.sequence,
+                                 .target = request.target,
+                                 .target_start = meant == request.records.end() ? 0 : meant->start,
+                                 .deadline = now + scaled_by_local_health(settings_.probe_timeout)};
     auto ping = make_message(MembershipMessage::Kind::ping, sequence);
     ping.target = request.target;
     piggyback_gossip(ping);
--- a/src/cluster/membership/membership.h
+++ b/src/cluster/membership/membership.h
@@ -125,6 +125,7 @@
 private:
     struct Probe {
         std::string target;
+        std::uint64_t target_start = 0;
         std::uint32_t sequence = 0;
         Time sent{};
         bool asked_helpers = false;
@@ -136,6 +137,8 @@
     struct RelayedProbe {
         std::string requester_address;
         std::uint32_t requester_sequence = 0;
+        std::string target;
+        std::uint64_t target_start = 0;  // 0: the requester did not tell which process it means
         Time deadline{};
     };
 
@@ -143,6 +146,7 @@
     MembershipMessage make_message(MembershipMessage::Kind kind, std::uint32_t sequence) const;
     void piggyback_gossip(MembershipMessage& message);
     bool acceptable(const MembershipMessage& message) const;
+    bool is_ack_of_probe(const MembershipMessage& ack) const;
     void on_ping(const MembershipMessage& ping, Outgoing& out);
     void on_ack(const MembershipMessage& ack, Outgoing& out);
     void on_ping_req(const MembershipMessage& request, Time now, Outgoing& out);
--- a/src/cluster/membership/membership_periodic.cpp
+++ b/src/cluster/membership/membership_periodic.cpp
@@ -68,12 +68,14 @@
     probe_->asked_helpers = true;
     const auto helpers = random_alive_members(settings_.indirect_probes, probe_->target);
     const auto* target = table_.find(probe_->target);
-    if (!target)
+    if (!target || target->record.start != probe_->target_start)
         return;
     for (const auto* helper : helpers) {
         auto request = make_message(MembershipMessage::Kind::ping_req, probe_->sequence);
         request.target = probe_->target;
         request.target_address = target->record.identity.address;
+        // Tells the helper which process of this name is meant.
+        request.records.push_back(target->record);
         piggyback_gossip(request);
         out.push_back({helper->record.identity.address, std::move(request)});
         ++counters_.indirect_probes;
@@ -97,7 +99,8 @@
     if (probe->nacks < probe->nacks_expected)
         worsen_local_health();
     worsen_local_health();
-    if (!is_probeable(probe->target))
+    // The silence of a process says nothing of one that has taken its place.
+    if (!is_probeable(probe->target) || table_.find(probe->target)->record.start != probe->target_start)
         return;
     // If the target is suspect already, this counts as an independent confirmation (Lifeguard).
     MemberRecord suspicion = table_.find(probe->target)->record;
@@ -137,7 +140,8 @@
     if (target.state == MemberState::suspect)
         ping.records.push_back(target);
     piggyback_gossip(ping);
-    probe_ = Probe{.target = target.identity.name, .sequence = sequence, .sent = now};
+    probe_ = Probe{
+        .target = target.identity.name, .target_start = target.start, .sequence = sequence, .sent = now};
     ++counters_.probes;
     out.push_back({target.identity.address, std::move(ping)});
 }
--- a/src/core/attempt_builder.cpp
+++ b/src/core/attempt_builder.cpp
@@ -14,9 +14,12 @@
     built.client_request = request.client_request;
     built.target = send.target;
     built.address = server->address;
+    built.target_process = server->process;
     if (send.fill) {
         if (send.fill->source != send.target)
             built.source = send.fill->source;
+        if (const Server* source = servers_.find(send.fill->source))
+            built.source_process = source->process;
         built.retention = static_cast<int>(send.fill->retention);
         built.max_age = send.fill->max_age;
         built.coalesce = send.fill->coalesce;
--- a/src/core/discovery_updates.cpp
+++ b/src/core/discovery_updates.cpp
@@ -23,11 +23,28 @@
         if (server.started_ms > 0)
             server.entry.started_at = started_at(server, now, max_age);
     }
+    const ServerChange ended = ended_processes(change);
     for (const ServerId& id : state_.servers.apply(change, now))
         state_.sender.discard_connections(id);
+    if (!ended.servers.empty())
+        notify_routing(ended);
     notify_routing(change);
 }
 
+// The decision module knows servers by id and start. So that it does not take a process for the one before,
+// the latter is reported as gone first.
+ServerChange DiscoveryUpdates::ended_processes(const ServerChange& change) const {
+    ServerChange ended;
+    for (const Server& listed : change.servers) {
+        const Server* known = state_.servers.find(listed.entry.id);
+        if (!known || known->entry.condition == Condition::gone || !state_.servers.is_new_process(listed))
+            continue;
+        ended.servers.push_back(*known);
+        ended.servers.back().entry.condition = Condition::gone;
+    }
+    return ended;
+}
+
 // Guards rule 4 (slow start): a server's start time does not change when the server is listed again. If its
 // age is implausible, the time of the first listing is used.
 Time DiscoveryUpdates::started_at(const Server& server, Time now, Span max_age) {
--- a/src/core/discovery_updates.h
+++ b/src/core/discovery_updates.h
@@ -26,6 +26,7 @@
     void set_zone_factors(const ZoneFactors& factors);
 
 private:
+    ServerChange ended_processes(const ServerChange& change) const;
     Time started_at(const Server& server, Time now, Span max_age);
     void change_exclusions(const std::function<void()>& change);
     std::optional<Server> changed_server(const Server& server, const routing::ListedServer& before);
--- a/src/core/forwarding.cpp
+++ b/src/core/forwarding.cpp
@@ -134,8 +134,10 @@
     // system in the iteration that read the request.
     conditions.client_closed = now > request.received + kSameIteration && request.sink->client_closed();
     // Guards rule 3 (drains): a server may have begun to drain while the attempt waited for its connection.
-    conditions.target_usable = state_.servers.is_usable(attempt.target);
-    conditions.source_usable = !attempt.source || state_.servers.is_usable(*attempt.source);
+    // Another process may have taken its place, at the same address or another one.
+    conditions.target_usable = state_.servers.is_usable(attempt.target, attempt.target_process);
+    conditions.source_usable =
+        !attempt.source || state_.servers.is_usable(*attempt.source, attempt.source_process);
     if (state_.is_tracked(request.client_request->trace_id, request.class_index))
         conditions.record_run = [this, &request] {
             return record_run(request);
--- a/src/core/server_registry.cpp
+++ b/src/core/server_registry.cpp
@@ -13,9 +13,26 @@
     return invalidated;
 }
 
+// A start of 0 is one that is not told, so it does not tell a new process. After a server has gone, its id is
+// only known to be the same process by the same start.
+bool ServerRegistry::is_new_process(const Server& listed) const {
+    const Server* known = find(listed.entry.id);
+    if (!known || listed.address != known->address)
+        return true;
+    if (listed.started_ms != 0 && listed.started_ms != known->started_ms)
+        return true;
+    const bool returns =
+        known->entry.condition == Condition::gone && listed.entry.condition != Condition::gone;
+    return returns && listed.started_ms == 0;
+}
+
 // Returns the previous state of the servers that may have changed.
 ServerRegistry::Servers ServerRegistry::update_entries(const ServerChange& change) {
     Servers before;
+    std::set<ServerId> replaced;
+    for (const Server& listed : change.servers)
+        if (is_new_process(listed))
+            replaced.insert(listed.entry.id);
     if (change.complete) {
         before = servers_;
         for (auto& [id, server] : servers_)
@@ -23,12 +40,15 @@
     }
     for (const Server& listed : change.servers) {
         auto [at, inserted] = servers_.try_emplace(listed.entry.id, listed);
-        if (inserted)
-            continue;
-        before.try_emplace(at->first, at->second);
-        const auto unavailable_since = at->second.unavailable_since;
-        at->second = listed;
-        at->second.unavailable_since = unavailable_since;
+        const ServerProcess process =
+            replaced.contains(listed.entry.id) ? ++last_process_ : at->second.process;
+        if (!inserted) {
+            before.try_emplace(at->first, at->second);
+            const auto unavailable_since = at->second.unavailable_since;
+            at->second = listed;
+            at->second.unavailable_since = unavailable_since;
+        }
+        at->second.process = process;
     }
     return before;
 }
@@ -92,4 +112,8 @@
     return server && !is_excluded(*server) && !server->unavailable_since;
 }
 
+bool ServerRegistry::is_usable(const ServerId& id, ServerProcess process) const {
+    return is_usable(id) && find(id)->process == process;
+}
+
 }  // namespace silverrail::core
--- a/src/core/server_registry.h
+++ b/src/core/server_registry.h
@@ -17,6 +17,7 @@
     std::string address;
     std::int64_t started_ms = 0;            // Unix time in ms, as listed; 0: not recently
     std::optional<Time> unavailable_since;  // when it was first seen draining or gone
+    ServerProcess process = 0;              // assigned by the registry
 };
 
 struct ServerChange {
@@ -40,6 +41,8 @@
           origin_kind_(settings.origin_kind),
           use_listed_weights_(settings.server_weights == routing::ServerWeights::nominal) {}
 
+    // Whether `listed` is another process than the one known under its id. Also true if none is known.
+    bool is_new_process(const Server& listed) const;
     // Returns the ids of the servers whose open connections must not be reused: gone, restarted, or at
     // another address.
     std::vector<ServerId> apply(const ServerChange& change, Time now);
@@ -74,6 +77,8 @@
     // decided before the server began to drain, until their first byte: such an attempt has not run, so
     // another server can be used at no cost, and the drain's grace period may be short or partly over.
     bool is_usable(const ServerId& id) const;
+    // Whether it is, and is still the process that the attempt was decided for.
+    bool is_usable(const ServerId& id, ServerProcess process) const;
     template <class Test>
     bool any_available(Test test) const {
         for (const auto& [id, server] : servers_) {
@@ -105,6 +110,7 @@
     std::vector<ServerId> servers_with_invalid_connections(const Servers& before) const;
 
     Servers servers_;
+    ServerProcess last_process_ = 0;
     overrides::ServerOverrides overrides_;
     std::set<ServerId> reported_outliers_;
     ZoneFactors zone_factors_;
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -61,6 +61,9 @@
     std::int64_t generated_ms = 0;  // served, not_modified: Unix ms of the origin's response; 0: unknown
 };
 
+// Distinguishes the processes that were listed under one server id, one after the other.
+using ServerProcess = std::uint64_t;
+
 // Identifies an attempt: its request, and its index among the request's attempts.
 struct AttemptKey {
     RequestId request{};
@@ -74,7 +77,9 @@
     std::shared_ptr<const ClientRequest> client_request;
     ServerId target{};
     std::string address;
+    ServerProcess target_process = 0;
     std::optional<ServerId> source{};  // absent: the server does not fill a miss
+    ServerProcess source_process = 0;
     int retention = 0;
     Span max_age{};         // maximum acceptable age of a cached copy; 0: the class's max_age
     bool coalesce = false;  // this and the next two: see routing::Fill
--- a/src/routing/hang_detection.cpp
+++ b/src/routing/hang_detection.cpp
@@ -16,10 +16,11 @@
 }
 
 bool HangDetector::is_hung(const OpenRequest& open, const Attempt& attempt, Time now) const {
-    const ServerState* target = servers_.find(attempt.target);
+    const ServerState* target = servers_.find(attempt.target, attempt.target_process);
     if (!target || target->last_alive <= attempt.sent_at)
         return false;
-    const ServerState* source = attempt.source ? servers_.find(*attempt.source) : nullptr;
+    const ServerState* source =
+        attempt.source ? servers_.find(*attempt.source, attempt.source_process) : nullptr;
     const double usual = std::max(target->relative_latency, source ? source->relative_latency : 0);
     const double least = attempt.source ? kHungFillAfter : kHungAfter;
     return relative_wait(open, attempt, now) > std::max(least, kUsualLatencyFactor * usual);
--- a/src/routing/open_request.h
+++ b/src/routing/open_request.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <optional>
+#include <string>
 #include <vector>
 
 #include "routing/hot_object_tracker.h"
@@ -13,7 +14,11 @@
 // One request sent to a server.
 struct Attempt {
     ServerId target;
+    std::uint32_t target_process = 0;  // see ServerState
+    CellId target_cell{};              // where the target stood when it was sent
+    std::string target_zone;
     std::optional<ServerId> source;  // absent: no fill, or one from the target itself
+    std::uint32_t source_process = 0;
     Time sent_at{};
     double work = 0;  // expected sending time of the response, in seconds
     bool in_flight = true;
--- a/src/routing/outcome_learning.cpp
+++ b/src/routing/outcome_learning.cpp
@@ -3,16 +3,15 @@
 namespace silverrail::routing {
 
 void OutcomeLearner::record(const OpenRequest& open, Attempt& attempt, const Outcome& outcome, Time now) {
-    const Servers servers{deps_.servers.find(attempt.target),
-                          attempt.source ? deps_.servers.find(*attempt.source) : nullptr};
+    remove_from_counts(attempt);
+    // What another process did tells nothing of the one that has taken its place.
+    const Servers servers{
+        deps_.servers.find(attempt.target, attempt.target_process),
+        attempt.source ? deps_.servers.find(*attempt.source, attempt.source_process) : nullptr};
     const ServerState* provider = servers.source ? servers.source : servers.target;
     const bool cached_class = !deps_.settings.classes[open.request.class_index].uncached;
     if (provider && provider->role == ServerRole::origin && cached_class)
         deps_.capacity.pause_origin_after(outcome.duration, now);
-    if (servers.target)
-        --servers.target->attempts_in_flight;
-    if (servers.source)
-        --servers.source->fills_in_flight;
 
     const Findings findings = evaluate(open, outcome);
     attempt.hung = findings.timed_out_or_cancelled && deps_.hangs.is_hung(open, attempt, now);
@@ -28,6 +27,14 @@
         deps_.work.record_hit(open.request, outcome.duration);
 }
 
+// The counts cover all processes under a server's id.
+void OutcomeLearner::remove_from_counts(const Attempt& attempt) {
+    if (ServerState* target = deps_.servers.find(attempt.target))
+        --target->attempts_in_flight;
+    if (ServerState* source = attempt.source ? deps_.servers.find(*attempt.source) : nullptr)
+        --source->fills_in_flight;
+}
+
 OutcomeLearner::Findings OutcomeLearner::evaluate(const OpenRequest& open, const Outcome& outcome) const {
     const AttemptStatus status = outcome.attempt_status;
     const CacheStatus cache_status = outcome.cache_status;
--- a/src/routing/outcome_learning.h
+++ b/src/routing/outcome_learning.h
@@ -29,7 +29,7 @@
     void record(const OpenRequest& open, Attempt& attempt, const Outcome& outcome, Time now);
 
 private:
-    // The attempt's servers; null if no longer known.
+    // The attempt's servers; null if no longer known, or replaced by other processes.
     struct Servers {
         ServerState* target = nullptr;
         ServerState* source = nullptr;
@@ -43,6 +43,7 @@
         bool timed_out_or_cancelled = false;  // timed out or was cancelled
         double relative_latency = 0;
     };
+    void remove_from_counts(const Attempt& attempt);
     Findings evaluate(const OpenRequest& open, const Outcome& outcome) const;
     void learn_latency(const Servers& servers, const Attempt& attempt, const Findings& findings);
     void learn_about_source(ServerState& source, const Attempt& attempt, const Outcome& outcome,
--- a/src/routing/retry_policy.cpp
+++ b/src/routing/retry_policy.cpp
@@ -21,7 +21,7 @@
             continue;
         if (request_class.idempotency == Idempotency::none)
             return false;
-        if (!shares_keys(request_class.key_scope, earlier.target, target))
+        if (!shares_keys(request_class.key_scope, earlier, target))
             return false;
     }
     const auto window_end = retry_window_end(open);
@@ -35,14 +35,16 @@
     return first_run->sent_at + class_of(open).retry_window - kNetworkDelay;
 }
 
-// True if `target` recognises the keys of requests that ran at the earlier target.
-bool RetryPolicy::shares_keys(KeyScope scope, const ServerId& earlier, const ServerState& target) const {
-    if (scope == KeyScope::all || earlier == target.id)
+// True if `target` recognises the keys of requests that ran at the earlier target, which stood where it did
+// then: its id may be that of a process elsewhere by now.
+bool RetryPolicy::shares_keys(KeyScope scope, const Attempt& earlier, const ServerState& target) const {
+    if (scope == KeyScope::all)
         return true;
-    const ServerState* server = servers_.find(earlier);
-    if (!server)
+    if (earlier.target == target.id && earlier.target_process == target.process)
+        return true;
+    if (!servers_.find(earlier.target))
         return false;
-    return scope == KeyScope::zone ? server->zone == target.zone : server->cell == target.cell;
+    return scope == KeyScope::zone ? earlier.target_zone == target.zone : earlier.target_cell == target.cell;
 }
 
 bool RetryPolicy::may_reject(const OpenRequest& open) const {
--- a/src/routing/retry_policy.h
+++ b/src/routing/retry_policy.h
@@ -35,7 +35,7 @@
     const ClassSettings& class_of(const OpenRequest& open) const {
         return settings_.classes[open.request.class_index];
     }
-    bool shares_keys(KeyScope scope, const ServerId& earlier, const ServerState& target) const;
+    bool shares_keys(KeyScope scope, const Attempt& earlier, const ServerState& target) const;
 
     const Settings& settings_;
     const ServerTable& servers_;
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -212,6 +212,9 @@
         ServerState& target = *plan.target;
         Attempt attempt;
         attempt.target = target.id;
+        attempt.target_process = target.process;
+        attempt.target_cell = target.cell;
+        attempt.target_zone = target.zone;
         attempt.sent_at = now_;
         attempt.work = work_.of_class(open.request.class_index);
         slow_start_.charge(target, attempt.work, now_);
@@ -219,6 +222,7 @@
         if (plan.source) {
             ServerState& source = *plan.source;
             attempt.source = source.id;
+            attempt.source_process = source.process;
             attempt.known_miss = open.cache_missed;
             attempt.only_if_cached = plan.fill && plan.fill->only_if_cached;
             attempt.charged_source = slow_start_.is_warming_up(source, now_);
@@ -252,13 +256,14 @@
     bool record_unresponsive(OpenRequest& open, const Attempt& attempt) {
         if (hangs_.relative_wait(open, attempt, now_) < kUnresponsiveAfter * kTimerTolerance)
             return false;
-        ServerState* target = servers_.find(attempt.target);
+        ServerState* target = servers_.find(attempt.target, attempt.target_process);
         if (target && target->last_alive < attempt.sent_at) {
             ++open.unresponsive_caches;
             outliers_.record_unresponsive(*target, attempt.sent_at, now_);
             return true;
         }
-        ServerState* source = attempt.source ? servers_.find(*attempt.source) : nullptr;
+        ServerState* source =
+            attempt.source ? servers_.find(*attempt.source, attempt.source_process) : nullptr;
         if (!source || source->role != ServerRole::parent || source->last_alive >= attempt.sent_at)
             return false;
         outliers_.record_unresponsive(*source, attempt.sent_at, now_);
@@ -277,9 +282,7 @@
     void retry_or_give_up(OpenRequest& open, AttemptStatus status) {
         Attempt& attempt = open.attempts.back();
         record_miss(open, attempt, status);
-        const bool server_left =
-            status == AttemptStatus::not_sent &&
-            (!servers_.is_usable(attempt.target) || (attempt.source && !servers_.is_usable(*attempt.source)));
+        const bool server_left = status == AttemptStatus::not_sent && has_lost_server(attempt);
         if (status == AttemptStatus::not_sent && !server_left)
             return give_up(open);
         // The token for a cancelled attempt was taken when it was cancelled, and a first miss costs the
@@ -291,6 +294,15 @@
         send_or_give_up(open);
     }
 
+    // True if the attempt's target or source is no longer usable, or was replaced by another process.
+    bool has_lost_server(const Attempt& attempt) const {
+        const auto is_lost = [this](const ServerId& id, std::uint32_t process) {
+            return !servers_.is_usable(id) || !servers_.find(id, process);
+        };
+        return is_lost(attempt.target, attempt.target_process) ||
+               (attempt.source && is_lost(*attempt.source, attempt.source_process));
+    }
+
     // The first miss of a cache, or of a parent asked for a cached copy only, is not a failure.
     static void record_miss(OpenRequest& open, Attempt& attempt, AttemptStatus status) {
         const bool asked_for_copy = attempt.only_if_cached || !attempt.source;
--- a/src/routing/server_table.cpp
+++ b/src/routing/server_table.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <set>
 #include <tuple>
 #include <utility>
 
@@ -20,8 +21,9 @@
 }
 
 // A new process starts with a cold cache, and what was learned about the old one does not apply to it.
-void reset_for_new_process(ServerState& server, Time started_at, Time now) {
+void reset_for_new_process(ServerState& server, const std::optional<Time>& started_at, Time now) {
     server.started_at = started_at;
+    ++server.process;
     server.failures = 0;
     server.ejected = false;
     server.refused_since.reset();
@@ -33,11 +35,10 @@
 }  // namespace
 
 void ServerTable::apply(const ServerList& list, Time now) {
-    if (list.complete)
-        for (auto& [id, server] : servers_)
-            server.listed = false;
     for (const ListedServer& listed : list.servers)
         update(listed, now);
+    if (list.complete)
+        remove_all_but(list);
     std::erase_if(servers_, [](const auto& entry) {
         const ServerState& server = entry.second;
         return !server.listed && server.attempts_in_flight == 0 && server.fills_in_flight == 0;
@@ -48,8 +49,19 @@
             by_role_[static_cast<std::size_t>(server.role)].push_back(&server);
 }
 
+void ServerTable::remove_all_but(const ServerList& list) {
+    std::set<ServerId> ids;
+    for (const ListedServer& listed : list.servers)
+        ids.insert(listed.id);
+    for (auto& [id, server] : servers_)
+        if (!ids.contains(id))
+            server.listed = false;
+}
+
 void ServerTable::update(const ListedServer& listed, Time now) {
+    const bool known = servers_.contains(listed.id);
     ServerState& server = servers_[listed.id];
+    const bool returns = known && !server.listed && listed.condition != Condition::gone;
     server.id = listed.id;
     server.hash = hash_string(listed.id.address);
     server.role = role_of(listed);
@@ -59,8 +71,11 @@
     server.zone = listed.zone;
     server.listed = listed.condition != Condition::gone;
     server.ready = listed.condition == Condition::ready;
-    if (listed.started_at && (!server.started_at || *listed.started_at > *server.started_at))
-        reset_for_new_process(server, *listed.started_at, now);
+    const bool started_later =
+        listed.started_at && (!server.started_at || *listed.started_at > *server.started_at);
+    // Attempts at the earlier process are still in flight, else the server would be unknown.
+    if (returns || started_later)
+        reset_for_new_process(server, started_later ? listed.started_at : server.started_at, now);
 }
 
 ServerRole ServerTable::role_of(const ListedServer& listed) const {
@@ -81,6 +96,16 @@
     return found == servers_.end() ? nullptr : &found->second;
 }
 
+ServerState* ServerTable::find(const ServerId& id, std::uint32_t process) {
+    ServerState* server = find(id);
+    return server && server->process == process ? server : nullptr;
+}
+
+const ServerState* ServerTable::find(const ServerId& id, std::uint32_t process) const {
+    const ServerState* server = find(id);
+    return server && server->process == process ? server : nullptr;
+}
+
 bool ServerTable::is_usable(const ServerId& id) const {
     const ServerState* server = find(id);
     return server && routing::is_usable(*server);
--- a/src/routing/server_table.h
+++ b/src/routing/server_table.h
@@ -30,6 +30,7 @@
     bool listed = true;
     bool ready = true;
     std::optional<Time> started_at;  // absent: not recently
+    std::uint32_t process = 0;       // increases with each new process under this id
 
     int attempts_in_flight = 0;  // of this router, with this server as the target
     int fills_in_flight = 0;     // of this router, with this server as the source
@@ -65,12 +66,16 @@
     // `settings` must outlive the table.
     explicit ServerTable(const Settings& settings) : settings_(settings) {}
 
-    // Applies a server list. If a server's start time is later than the known one, its learned state is
-    // reset. Servers that have left are removed once this router has nothing in flight there.
+    // Applies a server list. If a server's start time is later than the known one, or it returns after it had
+    // left, its learned state is reset. Servers that have left are removed once this router has nothing in
+    // flight there.
     void apply(const ServerList& list, Time now);
 
     ServerState* find(const ServerId& id);
     const ServerState* find(const ServerId& id) const;
+    // Null if another process has taken its place.
+    ServerState* find(const ServerId& id, std::uint32_t process);
+    const ServerState* find(const ServerId& id, std::uint32_t process) const;
     bool is_usable(const ServerId& id) const;
 
     // Listed servers of a role, ordered by id. Valid until the next call of apply().
@@ -91,6 +96,7 @@
     double take_parent_imbalance();
 
 private:
+    void remove_all_but(const ServerList& list);
     void update(const ListedServer& listed, Time now);
     ServerRole role_of(const ListedServer& listed) const;
 
--- a/tests/core/replaced_process_test.cpp
+++ b/tests/core/replaced_process_test.cpp
@@ -89,6 +89,10 @@
                 at_target.push_back(attempt.key);
         CHECK(at_target.size() >= 6);
         f.timers.pass(50ms);
+        // A whole list of the same servers replaces none of them.
+        f.list({listed("s-a", "127.0.0.1:1"), listed("s-b", "127.0.0.1:2"),
+                listed("s-parent", "127.0.0.1:3", "parent"), listed("s-origin", "127.0.0.1:4", "origin")},
+               true);
         if (replaced)
             f.list({restarted(f, target.address, address_of(target))});
         for (const AttemptKey& key : at_target)
@@ -106,18 +110,15 @@
         Fixture f{by_cell};
         const auto reply = f.submit("order");
         const ServerId target = f.sender.in_flight.at(0).target;
+        const std::string other = target.address == "s-a" ? "s-b" : "s-a";
         Server again = listed(target.address, address_of(target));
+        Server elsewhere = listed(other, address_of(ServerId{other}));
         if (replaced) {
             again = restarted(f, target.address, "127.0.0.1:77");
             again.entry.cell = silverrail::routing::CellId{7};
-        }
-        for (const char* other : {"s-a", "s-b"}) {
-            if (target.address == other)
-                continue;
-            Server elsewhere = listed(other, address_of(ServerId{other}));
             elsewhere.entry.cell = silverrail::routing::CellId{7};
-            f.list({elsewhere});
         }
+        f.list({elsewhere});
         // It is on its way when the list comes.
         CHECK(f.sender.first_byte(0));
         f.list({again});
@@ -135,12 +136,12 @@
 using cluster::MemberState;
 using cluster::message_from;
 
-// The ping that `membership` sends to "b" first, at or after `first`.
-MembershipMessage probe_of_b(cluster::Membership& membership, cluster::Time first) {
-    for (const auto& outgoing :
-         cluster::of_kind(cluster::run_ticks(membership, first, first + 300ms), cluster::Kind::ping))
-        if (outgoing.message.target == "b")
-            return outgoing.message;
+// Ticks until `membership` probes "b", and returns the probe. `now` is its time then.
+MembershipMessage probe_of_b(cluster::Membership& membership, cluster::Time& now) {
+    for (; now < 1s; now += 1ms)
+        for (const auto& outgoing : cluster::of_kind(membership.tick(now), cluster::Kind::ping))
+            if (outgoing.message.target == "b")
+                return outgoing.message;
     CHECK(false);
     return {};
 }
@@ -154,27 +155,30 @@
 void an_ack_counts_only_for_the_process_that_was_probed() {
     for (const std::uint64_t start : {1U, 2U}) {
         auto membership = cluster::membership_with({"b"});
-        const auto ping = probe_of_b(membership, 0ms);
-        membership.receive(ack_from("b", start, ping.sequence), 100ms);
+        cluster::Time now{};
+        const auto ping = probe_of_b(membership, now);
+        membership.receive(ack_from("b", start, ping.sequence), now + 1ms);
         CHECK(membership.counters().acks == (start == 1 ? 1U : 0U));
     }
     // Nor does one from a member that was not asked.
     auto membership = cluster::membership_with({"b", "c"});
-    const auto ping = probe_of_b(membership, 0ms);
-    membership.receive(ack_from("c", 1, ping.sequence), 100ms);
+    cluster::Time now{};
+    const auto ping = probe_of_b(membership, now);
+    membership.receive(ack_from("c", 1, ping.sequence), now + 1ms);
     CHECK(membership.counters().acks == 0);
 }
 
 // The probe was sent to the process before; its silence says nothing of the new one.
 void a_successor_is_not_suspected_for_the_silence_of_the_process_before() {
     auto membership = cluster::membership_with({"b"});
-    const auto ping = probe_of_b(membership, 0ms);
-    cluster::receive_records(membership, {cluster::record("b", 2, 0, MemberState::alive)}, 301ms, "b");
+    cluster::Time now{};
+    (void)probe_of_b(membership, now);
+    cluster::receive_records(membership, {cluster::record("b", 2, 0, MemberState::alive)}, now + 1ms, "b");
     membership.take_events();
-    // To the end of the probe's interval, and not to that of the next probe.
-    const auto sent = cluster::run_ticks(membership, 301ms, 301ms + fast_settings().probe_interval);
+    // To the end of this probe's interval.
+    (void)cluster::run_ticks(membership, now + 1ms, now + fast_settings().probe_interval);
     CHECK(!cluster::has_event(membership.take_events(), cluster::EventKind::suspect, "b"));
-    CHECK(cluster::state_of(membership, "b") == MemberState::alive && ping.target == "b");
+    CHECK(cluster::state_of(membership, "b") == MemberState::alive);
 }
 
 // A helper that is asked to probe a process does not report its successor's answer as that of the process.
