--- a/tests/compatibility/control_test.cpp
+++ b/tests/compatibility/control_test.cpp
@@ -215,7 +215,8 @@
     StandInServer server{good_answer()};
     RouterProcess router;
     router.start(config_of_syd_a(router, server.address()));
-    expect_figures(router, joined({kCoreFigures, kBansFigures, kClientsFigures, kLoopFigures, kMemoryFigures}));
+    expect_figures(router,
+                   joined({kCoreFigures, kBansFigures, kClientsFigures, kLoopFigures, kMemoryFigures}));
 
     expect_answer(router, "HEALTH", "ACK takes clients\n");
     expect_answer(router, "OFFLINE s-a", "ACK out\n");
