Read requests and answers in blocks of 16 KB again

Cause: since a buffer was released after each piece of a body, and a new one reads 512 bytes at first, so a write of 20 KB took some forty turns of the event loop; requests behind it were dated too late. Change: a buffer is given its room before each read, and released only when the socket is empty.

--- a/src/net/http_exchange.cpp
+++ b/src/net/http_exchange.cpp
@@ -85,6 +85,8 @@
         return report_response();
     if (!memory_.try_resize(kBytesPerExchange + parser_->get().body().size() + kMaxReadBytes))
         return wait_for_memory();
+    // Beast reads as many bytes as the buffer has room for.
+    connection_->buffer.reserve(kMaxReadBytes);
     http::async_read_some(
         connection_->socket, connection_->buffer, *parser_,
         [self = shared_from_this()](const error_code& error, std::size_t) { self->on_body(error); });
--- a/src/net/http_session.cpp
+++ b/src/net/http_session.cpp
@@ -103,7 +103,10 @@
     read_some();
 }
 
+// Beast reads as many bytes as the buffer has room for.
 void HttpSession::read_some() {
+    buffer_.reserve(server_.limits_.unparsed);
+    account_for_buffer();
     http::async_read_some(socket_, buffer_, *parser_,
                           [self = shared_from_this()](const error_code& error, std::size_t consumed) {
                               self->consumed_ += consumed;
@@ -125,7 +128,8 @@
 
 // A request whose client has stopped holds no more than has been received of it.
 void HttpSession::wait_for_more() {
-    if (buffer_.size() > 0 && parser_->is_header_done())
+    const bool more_to_parse = buffer_.size() > 0 && parser_->is_header_done();
+    if (more_to_parse || peek(socket_) > 0)
         return read_some();
     release_unused_buffer();
     socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](const error_code& error) {
