Let the soak use connections until the earliest kill, with short deadlines and crowds

Cause: the soak's clients kept off a router 0.5 s after SIGTERM, and SIGKILL came 50 ms late, always after a deadline of 2 s.

--- a/src/lab/soak/clients.cpp
+++ b/src/lab/soak/clients.cpp
@@ -8,8 +8,9 @@
 
 namespace {
 
-constexpr Millis kCrossing{50};    // a request and a close may cross so close to each other
-constexpr Millis kGivenUp{1'500};  // past its time: there will be no answer
+constexpr Millis kCrossing{50};         // a request and a close may cross so close to each other
+constexpr Millis kTakenLateAfter{700};  // SIGTERM
+constexpr Millis kGivenUp{1'500};       // past its time: there will be no answer
 constexpr int kObjects = 400;
 constexpr std::uint64_t kFirstRequestId = 0x50a4'0000'0000'0000;
 
@@ -89,7 +90,7 @@
                        : request.effect == Idempotency::keyed ? "order"
                                                               : "pages";
     request.path = std::string{name} + path + "0";
-    request.wait = Millis{chance(10) ? 60 + draw(200) : 500 + draw(1'500)};
+    request.wait = std::min(habits.longest_wait, Millis{chance(10) ? 60 + draw(200) : 500 + draw(1'500)});
     const std::string body = request.effect == Idempotency::idempotent
                                  ? std::string{}
                                  : std::string(static_cast<std::size_t>(20 + draw(20'000)), 'w');
@@ -192,7 +193,10 @@
 // `closed`: by the router; else no answer came.
 void Clients::lost(Connection& connection, const Sent& sent, bool closed) {
     const RouterAvailability& availability = availability_[connection.router];
-    const bool killed = connection.generation <= availability.killed;
+    // What SIGKILL finds unanswered is lost if it came after the router should have closed the connection.
+    const bool taken_late = connection.generation == availability.generation && availability.terminated_at &&
+                            oracle_.find(sent.id)->written > *availability.terminated_at + kTakenLateAfter;
+    const bool killed = connection.generation <= availability.killed && !taken_late;
     const bool crossed = closed && connection.used &&
                          Clock::now() < oracle_.find(sent.id)->written + kCrossing + oracle_.slack();
     if (killed || crossed || (closed && availability.breaks))
--- a/src/lab/soak/clients.h
+++ b/src/lab/soak/clients.h
@@ -2,6 +2,7 @@
 // and the front's view of which router takes what.
 #pragma once
 
+#include <optional>
 #include <random>
 
 #include "lab/soak/async.h"
@@ -12,11 +13,12 @@
 // What the front lets through to one router, and what became of its process.
 struct RouterAvailability {
     tcp::endpoint at{};
-    bool connections = false;      // new ones come
-    bool requests = false;         // requests come on open ones
-    std::uint64_t generation = 0;  // of the process
-    std::uint64_t killed = 0;      // the last generation that SIGKILL has ended
-    bool breaks = false;           // system calls fail, and connections with them
+    bool connections = false;               // new ones come
+    bool requests = false;                  // requests come on open ones
+    std::uint64_t generation = 0;           // of the process
+    std::uint64_t killed = 0;               // the last generation that SIGKILL has ended
+    std::optional<Moment> terminated_at{};  // when SIGTERM was sent to this process
+    bool breaks = false;                    // system calls fail, and connections with them
 };
 
 struct ClientHabits {
@@ -27,6 +29,7 @@
     int new_connection = 15;
     int rest = 3;
     Millis think{60};  // in the mean
+    Millis longest_wait = terms::kLongestDeadline;
 };
 
 class Clients {
--- a/src/lab/soak/main.cpp
+++ b/src/lab/soak/main.cpp
@@ -24,6 +24,7 @@
     bool print_plan = false;
     bool shrink = false;
     bool keep_logs = false;
+    int deadline_ms = static_cast<int>(terms::kLongestDeadline.count());
 };
 
 void print(const SoakOptions& options, const SoakResult& result) {
@@ -128,6 +129,14 @@
         ->check(CLI::Range(0, 50));
     app.add_option("--without", arguments.without, "kinds that are not played");
     app.add_option("--only", arguments.only, "positions in the schedule to play");
+    app.add_option("--crowd", soak.crowd_per_router, "connections to each router that hold memory")
+        ->check(CLI::Range(0, 400));
+    app.add_option("--deadline", arguments.deadline_ms, "the longest deadline of all classes, in ms")
+        ->check(CLI::Range(100, 10'000));
+    app.add_flag(
+        "--until-kill", soak.use_until_kill,
+        "clients use open connections until a router has ended, and SIGKILL comes as early as it may");
+    app.add_flag("--judge-memory", soak.judge_memory, "for a program without sanitizers");
     app.add_flag("--plan", arguments.print_plan, "print the schedule");
     app.add_flag("--tell", soak.print_faults, "print each fault as it begins");
     app.add_flag("--shrink", arguments.shrink, "cut a schedule that breaks a rule down");
@@ -153,6 +162,7 @@
     add_options(app, arguments);
     CLI11_PARSE(app, argc, argv);
     PlanOptions& plan = arguments.soak.plan;
+    arguments.soak.longest_deadline = Millis{arguments.deadline_ms};
     plan.length = Milliseconds{arguments.seconds * 1'000};
     plan.only = {arguments.only.begin(), arguments.only.end()};
     plan.without = kinds_named(arguments.without);
--- a/src/lab/soak/router_lifecycle.cpp
+++ b/src/lab/soak/router_lifecycle.cpp
@@ -14,8 +14,11 @@
 // After SIGTERM the platform sends no new connections from here on, and then no requests on open ones.
 constexpr Millis kNewConnectionsUntil{300};
 constexpr Millis kOpenConnectionsUntil{500};
-// After SIGTERM; a router that has not ended by then is killed.
-constexpr Millis kTerminationTimeout = terms::kLongestDeadline + 750ms;
+// After SIGTERM a router may be killed once the longest deadline, of which at most this much counts, and a
+// margin have passed. Usually it is killed a little later.
+constexpr Millis kMaxCountedDeadline{3'000};
+constexpr Millis kKillMargin{700};
+constexpr Millis kUsualDelay{50};
 constexpr Millis kCrashNoticedAfter{200};  // the platform sees that a process is gone
 constexpr Millis kHalfWrittenFor{100};
 constexpr Millis kPollInterval{20};
@@ -25,12 +28,14 @@
 }  // namespace
 
 RouterLifecycle::RouterLifecycle(asio::io_context& io, Oracle& oracle, Discovery& discovery,
-                                 RouterProcesses& processes, Clients& clients)
+                                 RouterProcesses& processes, Clients& clients,
+                                 const TerminationOptions& termination)
     : io_(io),
       oracle_(oracle),
       discovery_(discovery),
       processes_(processes),
       clients_(clients),
+      termination_(termination),
       routers_(processes.count()) {}
 
 std::string RouterLifecycle::label(std::size_t router) const {
@@ -72,6 +77,7 @@
     if (!ready || processes_.generation(router) != generation)
         co_return;
     routers_[router].ready = true;
+    availability(router).terminated_at.reset();
     availability(router).generation = generation;
     availability(router).connections = true;
     availability(router).requests = true;
@@ -139,6 +145,7 @@
 Task<> RouterLifecycle::terminate(std::size_t router, TerminationSignals signals) {
     const auto generation = processes_.generation(router);
     const Moment signalled_at = Clock::now();
+    availability(router).terminated_at = signalled_at;
     processes_.signal(router, SIGTERM);
     if (signals == TerminationSignals::term_and_hangup)
         processes_.signal(router, SIGHUP);
@@ -147,8 +154,10 @@
         processes_.signal(router, SIGTERM);
     availability(router).connections = false;
     co_await pause(kOpenConnectionsUntil - kNewConnectionsUntil);
-    availability(router).requests = false;
+    if (!termination_.use_until_kill)
+        availability(router).requests = false;
     const std::optional<int> status = co_await wait_for_exit(router, signalled_at);
+    availability(router).requests = false;
     if (!status) {
         availability(router).killed = generation;
         processes_.kill(router);
@@ -158,8 +167,13 @@
     }
 }
 
+Millis RouterLifecycle::termination_timeout() const {
+    const Millis earliest = std::min(termination_.longest_deadline, kMaxCountedDeadline) + kKillMargin;
+    return termination_.use_until_kill ? earliest : earliest + kUsualDelay;
+}
+
 Task<std::optional<int>> RouterLifecycle::wait_for_exit(std::size_t router, Moment signalled_at) {
-    while (Clock::now() < signalled_at + kTerminationTimeout + routers_[router].stopped_for) {
+    while (Clock::now() < signalled_at + termination_timeout() + routers_[router].stopped_for) {
         const std::optional<int> status = processes_.exit_status(router);
         if (status)
             co_return status;
--- a/src/lab/soak/router_lifecycle.h
+++ b/src/lab/soak/router_lifecycle.h
@@ -23,12 +23,18 @@
 inline constexpr Millis kStartTimeout{30'000};    // all of them at once
 inline constexpr Millis kRestartTimeout{10'000};  // one of them
 
+struct TerminationOptions {
+    Millis longest_deadline = terms::kLongestDeadline;  // of all classes
+    // Clients use open connections until the router has ended, and SIGKILL comes as early as it may.
+    bool use_until_kill = false;
+};
+
 // Keeps the clients' and the oracle's view of each router up to date. Runs on the thread of `io`; every
 // referred object must outlive it, and it must outlive `io`'s last handler.
 class RouterLifecycle {
 public:
     RouterLifecycle(asio::io_context& io, Oracle& oracle, Discovery& discovery, RouterProcesses& processes,
-                    Clients& clients);
+                    Clients& clients, const TerminationOptions& termination);
 
     // Starts all routers, each at a port of its own, and returns when all of them answer.
     Task<> start_all();
@@ -66,6 +72,7 @@
     Task<bool> wait_until_ready(std::size_t router, Millis timeout);
     Task<bool> answers(std::size_t router);
     Task<> terminate(std::size_t router, TerminationSignals signals);
+    Millis termination_timeout() const;
     Task<std::optional<int>> wait_for_exit(std::size_t router, Moment signalled_at);
     Task<> terminate_last(std::size_t router);
 
@@ -74,6 +81,7 @@
     Discovery& discovery_;
     RouterProcesses& processes_;
     Clients& clients_;
+    TerminationOptions termination_;
     std::vector<Router> routers_;
     bool terminated_ = false;
 };
--- a/src/lab/soak/router_processes.cpp
+++ b/src/lab/soak/router_processes.cpp
@@ -22,17 +22,17 @@
 }
 
 // The settings of every run, as JSON.
-std::string settings(std::size_t routers) {
+std::string settings(std::size_t routers, Millis longest_deadline) {
     return R"({"allowed":{"cancel":true,"connect-timeout":400000000,"conn-idle":5000000000,"retry-after":true,)"
            R"("max-retry-after":300000000,"try-limit":5},"classes":[)"
            R"({"name":"pages","aim":250000000,"give-up":)" +
-           nanoseconds(terms::kLongestDeadline) +
+           nanoseconds(longest_deadline) +
            R"(,"effect":"pure","late-worth":0.3},)"
            R"({"name":"lodge","aim":500000000,"give-up":)" +
-           nanoseconds(terms::kLongestDeadline) +
+           nanoseconds(longest_deadline) +
            R"(,"effect":"side_effect"},)"
            R"({"name":"order","aim":500000000,"give-up":)" +
-           nanoseconds(terms::kLongestDeadline) + R"(,"effect":"token","group":"all","window":)" +
+           nanoseconds(longest_deadline) + R"(,"effect":"token","group":"all","window":)" +
            nanoseconds(terms::kRetryWindow) +
            R"(}],"zone":"edge-1","dcs":["north","edge-1"],"weights":"nominal","balancers":)" +
            std::to_string(routers) +
@@ -54,8 +54,8 @@
 }  // namespace
 
 RouterProcesses::RouterProcesses(Programs programs, const std::filesystem::path& folder, std::size_t count,
-                                 std::uint64_t seed)
-    : programs_(std::move(programs)), seed_(seed) {
+                                 std::uint64_t seed, Millis longest_deadline)
+    : programs_(std::move(programs)), seed_(seed), longest_deadline_(longest_deadline) {
     for (std::size_t i = 0; i < count; ++i) {
         auto router = std::make_unique<Router>();
         router->folder = folder / ("r" + std::to_string(i));
@@ -78,10 +78,10 @@
     const auto scratch = folder / "config.new";
     std::ofstream{scratch} << R"({"name":"r)" << router << R"(","listen":")" << addresses.listen
                            << R"(","seed":")" << std::hex << seed << std::dec
-                           << R"(","limits":{"cores":1.0,"memory_mb":64,"sockets":256},"bulletin":")"
-                           << addresses.discovery
+                           << R"(","limits":{"cores":1.0,"memory_mb":)" << kMemoryMb
+                           << R"(,"sockets":256},"bulletin":")" << addresses.discovery
                            << R"(","flow_bytes_per_s":310000,"link_bytes_per_s":1240000,)" << R"("known":)"
-                           << known << R"(,"settings":)" << settings(count()) << "}";
+                           << known << R"(,"settings":)" << settings(count(), longest_deadline_) << "}";
     std::filesystem::rename(scratch, folder / "config.json");
 }
 
@@ -118,6 +118,23 @@
     ::_exit(kCannotExecute);
 }
 
+std::size_t RouterProcesses::resident_kb(std::size_t router) const {
+    if (!running(router))
+        return 0;
+    const std::string folder = "/proc/" + std::to_string(routers_[router]->pid);
+    // Between fork and execution, the process is a copy of this one.
+    std::error_code error;
+    const auto program = std::filesystem::read_symlink(folder + "/exe", error);
+    if (error || program.filename() != std::filesystem::path{programs_.router}.filename())
+        return 0;
+    constexpr std::string_view kResident = "VmRSS:";
+    std::ifstream status{folder + "/status"};
+    for (std::string line; std::getline(status, line);)
+        if (line.starts_with(kResident))
+            return std::stoul(line.substr(kResident.size()));
+    return 0;
+}
+
 void RouterProcesses::signal(std::size_t router, int number) {
     if (running(router))
         ::kill(routers_[router]->pid, number);
--- a/src/lab/soak/router_processes.h
+++ b/src/lab/soak/router_processes.h
@@ -25,14 +25,17 @@
 // the latest when this object is destroyed.
 class RouterProcesses {
 public:
+    static constexpr std::size_t kMemoryMb = 64;  // the limit of each router
+
     struct Programs {
         std::string router;
         std::string fault_library;
     };
     // Makes the routers' folders in `folder`; no process runs yet. Throws std::filesystem::filesystem_error
     // and std::system_error.
+    // `longest_deadline`: of all classes.
     RouterProcesses(Programs programs, const std::filesystem::path& folder, std::size_t count,
-                    std::uint64_t seed);
+                    std::uint64_t seed, Millis longest_deadline);
     ~RouterProcesses();
     RouterProcesses(const RouterProcesses&) = delete;
     RouterProcesses& operator=(const RouterProcesses&) = delete;
@@ -61,6 +64,9 @@
         return routers_.at(router)->generation;
     }
 
+    // Resident memory in KB; 0: none runs, or it has just been started.
+    std::size_t resident_kb(std::size_t router) const;
+
     FaultFile& faults(std::size_t router) {
         return *routers_.at(router)->faults;
     }
@@ -78,6 +84,7 @@
 
     Programs programs_;
     std::uint64_t seed_;
+    Millis longest_deadline_;
     std::vector<std::unique_ptr<Router>> routers_;
 };
 
--- a/src/lab/soak/soak.cpp
+++ b/src/lab/soak/soak.cpp
@@ -2,9 +2,11 @@
 
 #include <algorithm>
 #include <cstdio>
+#include <set>
 
 #include "lab/soak/async.h"
 #include "lab/soak/clients.h"
+#include "lab/soak/crowd.h"
 #include "lab/soak/discovery.h"
 #include "lab/soak/fault_player.h"
 #include "lab/soak/router_lifecycle.h"
@@ -28,9 +30,13 @@
           oracle_(options.plan.routers, options.plan.servers),
           servers_(io_, oracle_, options.plan.servers, options.plan.routers, options.plan.seed + 1),
           discovery_(io_, oracle_, servers_, options.plan.routers),
-          processes_(options.programs, options.folder, options.plan.routers, options.plan.seed),
+          processes_(options.programs, options.folder, options.plan.routers, options.plan.seed,
+                     options.longest_deadline),
           clients_(io_, oracle_, options.plan.routers, options.clients_per_router, options.plan.seed + 2),
-          lifecycle_(io_, oracle_, discovery_, processes_, clients_),
+          crowd_(io_, clients_, options.crowd_per_router),
+          lifecycle_(
+              io_, oracle_, discovery_, processes_, clients_,
+              {.longest_deadline = options.longest_deadline, .use_until_kill = options.use_until_kill}),
           server_faults_(oracle_, servers_, discovery_),
           fault_player_(lifecycle_, processes_, server_faults_, discovery_, clients_) {}
 
@@ -52,7 +58,11 @@
 private:
     Task<> play() {
         co_await lifecycle_.start_all();
+        clients_.habits.longest_wait = options_.longest_deadline;
         clients_.start();
+        crowd_.start(options_.plan.routers);
+        if (options_.judge_memory)
+            spawn(io_, judge_memory());
         spawn(io_, lifecycle_.watch_for_crashes());
         began_ = Clock::now();
         co_await play_schedule();
@@ -74,6 +84,21 @@
         co_await pause(began_ + options_.plan.length - Clock::now());
     }
 
+    // Each router once.
+    Task<> judge_memory() {
+        std::set<std::size_t> over;
+        while (true) {
+            for (std::size_t router = 0; router < processes_.count(); ++router) {
+                const std::size_t resident = processes_.resident_kb(router);
+                if (resident < RouterProcesses::kMemoryMb * 1024 * 9 / 10 || !over.insert(router).second)
+                    continue;
+                oracle_.violation(Rule::alive, "router " + std::to_string(router) + " holds " +
+                                                   std::to_string(resident) + " KB");
+            }
+            co_await pause(kPollInterval);
+        }
+    }
+
     // The clients and servers run on this thread: when it is late, the times that they take are too.
     Task<> measure_lag() {
         while (true) {
@@ -93,6 +118,7 @@
     Discovery discovery_;
     RouterProcesses processes_;
     Clients clients_;
+    Crowd crowd_;
     RouterLifecycle lifecycle_;
     ServerFaults server_faults_;
     FaultPlayer fault_player_;
--- a/src/lab/soak/soak.h
+++ b/src/lab/soak/soak.h
@@ -17,6 +17,11 @@
     RouterProcesses::Programs programs;
     std::filesystem::path folder;  // of the routers' files
     std::size_t clients_per_router = 6;
+    std::size_t crowd_per_router = 0;                   // connections that hold memory
+    Millis longest_deadline = terms::kLongestDeadline;  // of all classes
+    // Clients use open connections until the router has ended, and SIGKILL comes as early as it may.
+    bool use_until_kill = false;
+    bool judge_memory = false;  // for a program without sanitizers
     bool print_faults = false;  // as they begin, on standard output
 };
 
