Give each soak loopback addresses of its own

Cause: all soaks used the same addresses, so with several beside each other a port that one had let go was taken by another one, and requests of one run reached servers of the other; their ids are the same. Change: the second number of the addresses comes from the process id.

--- a/src/lab/soak/discovery.cpp
+++ b/src/lab/soak/discovery.cpp
@@ -2,6 +2,8 @@
 
 #include <sys/socket.h>
 
+#include "lab/stand_in_support.h"
+
 namespace silverrail::lab::soak {
 
 namespace {
@@ -15,7 +17,7 @@
 constexpr std::int64_t kFirstListNumber = 1;
 
 tcp::endpoint any_port() {
-    return {asio::ip::make_address("127.0.0.3"), 0};
+    return {own_loopback_address(0, 3), 0};
 }
 
 const char* word_of(Discovery::ServerState state) {
--- a/src/lab/soak/router_lifecycle.cpp
+++ b/src/lab/soak/router_lifecycle.cpp
@@ -48,8 +48,7 @@
 
 // A port of this router's own address, released right before it is bound.
 tcp::endpoint RouterLifecycle::free_endpoint(std::size_t router) {
-    const auto address = asio::ip::make_address("127.0." + std::to_string(20 + router / 200) + "." +
-                                                std::to_string(1 + router % 200));
+    const auto address = own_loopback_address(20 + router / 200, 1 + router % 200);
     return tcp::acceptor{io_, {address, 0}}.local_endpoint();
 }
 
--- a/src/lab/soak/servers.cpp
+++ b/src/lab/soak/servers.cpp
@@ -6,7 +6,6 @@
 
 namespace {
 
-constexpr const char* kAddress = "127.0.0.2";
 constexpr const char* kPathPrefix = "/obj/";
 
 using Response = http::response<http::string_body>;
@@ -66,7 +65,7 @@
         servers_.push_back(std::make_unique<Server>());
         for (std::size_t router = 0; router < routers; ++router) {
             auto listener = std::make_unique<Listener>(io);
-            listener->endpoint = {asio::ip::make_address(kAddress), 0};
+            listener->endpoint = {own_loopback_address(0, 2), 0};
             servers_[server]->listeners.push_back(std::move(listener));
             open(server, router);
         }
--- a/src/lab/stand_in_support.h
+++ b/src/lab/stand_in_support.h
@@ -1,6 +1,8 @@
 // What stand-ins on loopback have in common.
 #pragma once
 
+#include <unistd.h>
+
 #include <charconv>
 #include <chrono>
 #include <cstdint>
@@ -17,6 +19,16 @@
     return {net::asio::ip::make_address("127.0.0.1"), 0};
 }
 
+// A loopback address of this process alone, by the last two numbers of the address. Ports that one run has
+// let go may be taken by another one beside it, which must not be reached by mistake.
+inline net::asio::ip::address own_loopback_address(std::size_t third, std::size_t fourth) {
+    constexpr int kFirst = 1;
+    constexpr int kCount = 254;
+    const std::string second = std::to_string(kFirst + ::getpid() % kCount);
+    return net::asio::ip::make_address("127." + second + "." + std::to_string(third) + "." +
+                                       std::to_string(fourth));
+}
+
 // ADDRESS:PORT
 inline std::string address_text(const net::tcp::endpoint& endpoint) {
     return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
