Judge the soak's keyed repeats by when they were sent

Change: both count from the first byte of the attempt; the order in which a server runs two does not matter. As strict: a repeat sent after the window is a violation, also if it ran first, and any second run of what may not be repeated still is (soak_oracle_test).

--- a/src/lab/soak/oracle.h
+++ b/src/lab/soak/oracle.h
@@ -71,7 +71,7 @@
     Moment written{};                     // its last byte
     std::optional<Moment> answer_from{};  // behind another on its connection: when that was answered
     std::optional<Moment> left{};         // its client has gone
-    std::optional<Moment> first_run{};
+    std::optional<Moment> first_run{};    // when the first byte of the first attempt that ran was received
     std::optional<int> status{};
     int runs = 0;
 
@@ -118,7 +118,8 @@
                  Millis call_ms);
     // It was named as the one that a miss is filled from.
     void named_source(std::size_t router, std::size_t source, const std::string& id, Moment first_byte);
-    void ran(const std::string& id);
+    // A server executed the attempt whose first byte it had received then.
+    void ran(const std::string& id, Moment first_byte);
     void server_started(std::size_t server) {
         cold_starts_[server] = ColdStart{Clock::now(), {}, {}};
     }
