Measure resident memory once for each update of the capacities

Cause: update_capacities() read /proc twice and subtracted a figure of the first reading from the second, which wraps if memory was given back in between. Change: one reading.

--- a/src/app/memory_monitor.cpp
+++ b/src/app/memory_monitor.cpp
@@ -85,8 +85,9 @@
 }
 
 void MemoryMonitor::update_capacities() {
-    const std::size_t cached = std::min(with_.cache_bytes(), unaccounted_bytes());
-    const std::size_t fixed = unaccounted_bytes() - cached;
+    const std::size_t unaccounted = unaccounted_bytes();
+    const std::size_t cached = std::min(with_.cache_bytes(), unaccounted);
+    const std::size_t fixed = unaccounted - cached;
     const std::size_t left = memory_bytes_ - std::min(memory_bytes_, fixed);
     // The cache may use half of what the budget does not.
     const std::size_t for_cache = (left - std::min(left, with_.budget.in_use())) / 2;
