Review case 6: a router ends on a failover decision that names a zone it lacks

Change: the case of four routers that get a new zone one after the other, and of a zone that is lost before the last one has it; what the stand-ins need for it (names, zones, a listener that is cut off).

--- a/review/common-2/deployment.h
+++ b/review/common-2/deployment.h
@@ -83,6 +83,7 @@
     std::atomic<int> refused{0};
     std::atomic<int> failed{0};
     std::atomic<int> unanswered{0};
+    std::atomic<int> taken_unanswered{0};  // of these, written whole to a connection that was accepted
 
 private:
     void read(int port, int pause_ms, unsigned number) {
@@ -97,7 +98,9 @@
             ++asked;
             const int status = answer.status();
             ++(status == 200 ? served : status == 503 || status == 429 ? refused : status ? failed : unanswered);
-            record.line("client: id %s answered %d", id.c_str(), status);
+            taken_unanswered += status == 0 && answer.sent_ms != 0 ? 1 : 0;
+            record.line("client: id %s answered %d%s", id.c_str(), status,
+                        status != 0 ? "" : answer.sent_ms != 0 ? ": the connection ended" : ": no connection");
             sleep_ms(pause_ms);
         }
     }
--- a/review/common-2/kit.h
+++ b/review/common-2/kit.h
@@ -26,11 +26,13 @@
 #include <functional>
 #include <list>
 #include <map>
+#include <memory>
 #include <mutex>
 #include <optional>
 #include <set>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 namespace kit {
@@ -270,6 +272,27 @@
         for (auto& thread : connections_)
             thread.join();
         connections_.clear();
+        for (const int fd : std::exchange(fillers_, {}))
+            ::close(fd);
+        cut_ = false;
+    }
+    // As a machine that is cut off: open connections stay open and silent, new ones never come up. For the latter the
+    // queue of connections to accept is made as short as it can be, and filled.
+    void cut() {
+        cut_ = true;
+        ::listen(fd_, 0);
+        for (int i = 0; i < 4; ++i) {
+            const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+            const sockaddr_in at = loopback(port_);
+            ::connect(fd, reinterpret_cast<const sockaddr*>(&at), sizeof at);
+            fillers_.push_back(fd);
+        }
+    }
+    // Waits while it is cut off. False: it has ended meanwhile.
+    bool reachable() const {
+        while (cut_ && !stop_)
+            sleep_ms(5);
+        return !stop_;
     }
     // Closes the open connections and goes on listening.
     void drop_connections() {
@@ -282,7 +305,9 @@
     void accept() {
         while (!stop_) {
             pollfd readable{fd_, POLLIN, 0};
-            if (::poll(&readable, 1, 20) <= 0)
+            if (cut_)
+                sleep_ms(20);
+            if (cut_ || ::poll(&readable, 1, 20) <= 0 || cut_)
                 continue;
             const int fd = ::accept4(fd_, nullptr, nullptr, SOCK_CLOEXEC);
             if (fd < 0)
@@ -306,6 +331,8 @@
     int fd_ = -1;
     int port_ = 0;
     std::atomic<bool> stop_{false};
+    std::atomic<bool> cut_{false};
+    std::vector<int> fillers_;
     std::thread acceptor_;
     std::list<std::thread> connections_;
     std::mutex mutex_;
@@ -327,10 +354,11 @@
           zone_(std::move(zone)),
           weight_(weight),
           listener_(
-              [handler](int fd, const std::atomic<bool>& stop) {
+              [this, handler](int fd, const std::atomic<bool>& stop) {
                   std::string buffer;
                   Message request;
-                  while (!stop && read_message(fd, buffer, request, 3'600'000, &stop) == Read::whole) {
+                  while (!stop && read_message(fd, buffer, request, 3'600'000, &stop) == Read::whole &&
+                         listener_.reachable()) {
                       const std::string answer = handler(request);
                       if (answer.empty() || !write_all(fd, answer))
                           return;
@@ -505,8 +533,8 @@
     ::close(fd);
     return answer;
 }
-// A call to an operators' address: the first line of its answer.
-inline std::string control(int port, const std::string& line) {
+// A call to an operators' address, and its whole answer.
+inline std::string control_all(int port, const std::string& line) {
     const int fd = connect_to(port);
     if (fd < 0)
         return {};
@@ -522,12 +550,20 @@
         }
     }
     ::close(fd);
-    return text.substr(0, text.find('\n'));
+    std::replace(text.begin(), text.end(), '\n', '|');
+    return text;
+}
+// The first line of the answer.
+inline std::string control(int port, const std::string& line) {
+    const std::string text = control_all(port, line);
+    return text.substr(0, text.find('|'));
 }
 
 // ---- the router ------------------------------------------------------------------------------------------
 
 struct RouterSettings {
+    std::string name = "n1";
+    std::string zone = "edge-1";
     std::string discovery;
     std::string known;                // the servers' entries
     std::int64_t known_number = 1;
@@ -542,7 +578,7 @@
 
 // The configuration of a router at `port`, with the figures of the first deployment's example.
 inline std::string config_text(const RouterSettings& s, int port, int control_port) {
-    std::string text = R"({"name":"n1","listen":"127.0.0.1:@PORT@",@CONTROL@"seed":"8c1f30d27a5be964",
+    std::string text = R"({"name":"@NAME@","listen":"127.0.0.1:@PORT@",@CONTROL@"seed":"8c1f30d27a5be964",
  "limits":{"cores":1.0,"memory_mb":@MB@,"sockets":@SOCKETS@},
  @BULLETIN@"flow_bytes_per_s":@FLOW@,"link_bytes_per_s":@LINK@,
  "known":{"no":@KNOWNNO@,"items":[{"no":1,"roster":{"version":1,"full":true,"servers":[@KNOWN@]}}]},
@@ -554,21 +590,23 @@
    {"name":"bulk-files","aim":400000000,"aim-stretch":1.6,"effect":"pure","give-up":@GIVEUP@,"group":"all","late-worth":0.15,"window":5000000000,"worth":2.0},
    {"name":"portal-pages","aim":250000000,"aim-stretch":2.0,"effect":"pure","give-up":2500000000,"group":"all","late-worth":0.2,"window":5000000000,"worth":1.0},
    {"name":"pay-run-lodge","aim":700000000,"effect":"side_effect","give-up":3000000000,"group":"all","late-worth":0.0,"window":5000000000,"worth":3.0}],
-  "clients":{"marks-retry":false},"dcs":["north","central","south","edge-1"],"family":"edge",
+  "clients":{"marks-retry":false},"dcs":["north","central","south","edge-1","edge-2"],"family":"edge",
   "family-info":{"bypass-allowed":false,"class-grace":[0,20000000000,0],"cleared-within":6000000000,"detail":"all",
-   "heed-within":500000000,"hub-of":[0,1,2,1],"max-age":[0,8000000000,0],"one-flow-kb-per-s":@KBPS@,
+   "heed-within":500000000,"hub-of":[0,1,2,1,1],"max-age":[0,8000000000,0],"one-flow-kb-per-s":@KBPS@,
    "origin-kind":3,"parent-limit-factor":2.0,"parent-warms-in":21000000000,"peers-fill":"any",
-   "pipe-kb-per-s":[0,0,0,71059],"second-tier-kind":2,"segmented":[false,false,false],"shares-fills":false,
-   "stale-earns":[0.7,0.5,0.7],"uncached":[false,false,true],"upper-cold-from":0.068,"zone-balancers":[0,0,0,@ROUTERS@]},
+   "pipe-kb-per-s":[0,0,0,71059,71059],"second-tier-kind":2,"segmented":[false,false,false],"shares-fills":false,
+   "stale-earns":[0.7,0.5,0.7],"uncached":[false,false,true],"upper-cold-from":0.068,"zone-balancers":[0,0,0,@ROUTERS@,@ROUTERS@]},
   "invariants":{"answer-slack":8000000,"cold":14000000000,"cold-from":0.26,"drain-grace":2000000000,
    "fall":3000000000,"must-ask-in":10000000000,"tip-multiple":2.0},
   "kinds":["small-box","large-box","parent","origin"],"me":0,"orgs":[],"registry-mode":"push",
   "report":{"fields":["concurrent","load_share","x1","x0"],"how":"inline"},"round":2000000,
-  "stages":["branch-cache"],"tier":0,"weights":"rough","worth-by":"request","zone":"edge-1"}})";
+  "stages":["branch-cache"],"tier":0,"weights":"rough","worth-by":"request","zone":"@ZONE@"}})";
     const auto put = [&text](const std::string& name, const std::string& value) {
         for (auto at = text.find(name); at != std::string::npos; at = text.find(name, at + value.size()))
             text.replace(at, name.size(), value);
     };
+    put("@NAME@", s.name);
+    put("@ZONE@", s.zone);
     put("@PORT@", std::to_string(port));
     put("@CONTROL@", control_port ? "\"control\":\"127.0.0.1:" + std::to_string(control_port) + "\"," : "");
     put("@MB@", std::to_string(s.memory_mb));
