--- a/review/common-2/kit.h
+++ b/review/common-2/kit.h
@@ -570,6 +570,7 @@
     int bulk_give_up_ms = 5000;
     double kb_per_s = 6400;
     int routers = 1;
+    double cores = 1;
     int memory_mb = 192;
     int sockets = 1024;
     double flow_bytes_per_s = 310000;
@@ -579,7 +580,7 @@
 // The configuration of a router at `port`, with the figures of the first deployment's example.
 inline std::string config_text(const RouterSettings& s, int port, int control_port) {
     std::string text = R"({"name":"@NAME@","listen":"127.0.0.1:@PORT@",@CONTROL@"seed":"8c1f30d27a5be964",
- "limits":{"cores":1.0,"memory_mb":@MB@,"sockets":@SOCKETS@},
+ "limits":{"cores":@CORES@,"memory_mb":@MB@,"sockets":@SOCKETS@},
  @BULLETIN@"flow_bytes_per_s":@FLOW@,"link_bytes_per_s":@LINK@,
  "known":{"no":@KNOWNNO@,"items":[{"no":1,"roster":{"version":1,"full":true,"servers":[@KNOWN@]}}]},
  "settings":{
@@ -609,6 +610,7 @@
     put("@ZONE@", s.zone);
     put("@PORT@", std::to_string(port));
     put("@CONTROL@", control_port ? "\"control\":\"127.0.0.1:" + std::to_string(control_port) + "\"," : "");
+    put("@CORES@", std::to_string(s.cores));
     put("@MB@", std::to_string(s.memory_mb));
     put("@SOCKETS@", std::to_string(s.sockets));
     put("@BULLETIN@", s.discovery.empty() ? "" : "\"bulletin\":\"" + s.discovery + "\",");
