--- a/review/10/case.cpp
+++ b/review/10/case.cpp
@@ -35,18 +35,21 @@
     readers.stop();
     const std::int64_t allowed_until = drained_at + kToldWithinMs + kGraceMs;
     const auto requests = c1.requests();
-    const auto late = std::count_if(requests.begin(), requests.end(),
-                                    [&](std::int64_t at) { return at > allowed_until; });
-    const auto before = std::count_if(requests.begin(), requests.end(),
-                                      [&](std::int64_t at) { return at < drained_at; });
+    const auto late =
+        std::count_if(requests.begin(), requests.end(), [&](std::int64_t at) { return at > allowed_until; });
+    const auto before =
+        std::count_if(requests.begin(), requests.end(), [&](std::int64_t at) { return at < drained_at; });
     record.line("said to drain at %lld, counts as told at %lld at the latest, sends allowed until %lld",
                 static_cast<long long>(drained_at), static_cast<long long>(drained_at + kToldWithinMs),
                 static_cast<long long>(allowed_until));
-    record.line("requests at the draining cache: %zu, before the drain %lld, later than allowed %lld; streams opened %d",
-                requests.size(), static_cast<long long>(before), static_cast<long long>(late),
-                discovery.streams.load());
+    record.line(
+        "requests at the draining cache: %zu, before the drain %lld, later than allowed %lld; streams opened "
+        "%d",
+        requests.size(), static_cast<long long>(before), static_cast<long long>(late),
+        discovery.streams.load());
     record.line("clients: asked %d, served %d, refused %d, failed %d, unanswered %d", readers.asked.load(),
-                readers.served.load(), readers.refused.load(), readers.failed.load(), readers.unanswered.load());
+                readers.served.load(), readers.refused.load(), readers.failed.load(),
+                readers.unanswered.load());
     if (router.exited() || readers.served < 100 || before < 5)
         return kCouldNot;
     ::printf("%lld requests to the draining cache later than 2 s after it counts as told\n",
--- a/review/7/case.cpp
+++ b/review/7/case.cpp
@@ -1,4 +1,5 @@
-// A purge is told 9 s after it is in the bulletin, on a stream that is open and brings its comment each second.
+// A purge is told 9 s after it is in the bulletin, on a stream that is open and brings its comment each
+// second.
 #include "deployment.h"
 
 using namespace kit;
@@ -10,7 +11,8 @@
     constexpr std::int64_t kToldWithinMs = 7000;
     constexpr std::int64_t kHeedMs = 500 + 50;
     const Folder folder;
-    // Every server gives out the object as it is now: with the purge, all older copies are gone from them at once.
+    // Every server gives out the object as it is now: with the purge, all older copies are gone from them at
+    // once.
     std::atomic<std::int64_t> made{unix_ms() - 500};
     std::atomic<int> version{1};
     const auto answer = [&](const Message& request) {
@@ -22,8 +24,10 @@
                                "\r\nDetail: hit\r\nBackend-Load: inflight:1;util:0.1;x1:0.1;x0:0.7\r\n",
                            "version " + std::to_string(version) + "\n");
     };
-    Server c1{"s-00000001", "small-box", "edge-1", 5, answer}, c2{"s-00000002", "large-box", "edge-1", 8, answer},
-        parent{"s-0000000a", "parent", "central", 20, answer}, origin{"s-0000000b", "origin", "north", 40, answer};
+    Server c1{"s-00000001", "small-box", "edge-1", 5, answer},
+        c2{"s-00000002", "large-box", "edge-1", 8, answer},
+        parent{"s-0000000a", "parent", "central", 20, answer},
+        origin{"s-0000000b", "origin", "north", 40, answer};
     Discovery discovery;
     if (trouble())
         discovery.tell_after_ms = kTellAfterMs;
@@ -44,7 +48,8 @@
     const auto ask_once = [&] {
         const std::string id = new_id();
         const std::int64_t asked_at = record.now();
-        const Answer got = ask(port, client_request("GET", "bulk-files", object, id, 3000, 17, "Reserve-Kb: 400\r\n"), 4000);
+        const Answer got =
+            ask(port, client_request("GET", "bulk-files", object, id, 3000, 17, "Reserve-Kb: 400\r\n"), 4000);
         std::string body = got.message.body;
         body.erase(std::remove(body.begin(), body.end(), '\n'), body.end());
         record.line("client: id %s answered %d, \"%s\"", id.c_str(), got.status(), body.c_str());
@@ -57,7 +62,8 @@
         return kCouldNot;
     sleep_ms(500);
     const std::int64_t purged_at = record.now();
-    discovery.publish("\"recall\":{\"item\":\"" + object + "\",\"issued\":" + std::to_string(unix_ms()) + "}");
+    discovery.publish("\"recall\":{\"item\":\"" + object + "\",\"issued\":" + std::to_string(unix_ms()) +
+                      "}");
     sleep_ms(2);
     made = unix_ms();
     version = 2;
@@ -71,6 +77,7 @@
                 static_cast<long long>(binding_from));
     if (router.exited() || served < 20)
         return kCouldNot;
-    ::printf("%d answers with the purged copy later than 500 ms after the purge counts as told\n", served_old_late);
+    ::printf("%d answers with the purged copy later than 500 ms after the purge counts as told\n",
+             served_old_late);
     return served_old_late > 0 ? kBroken : kHeld;
 }
--- a/review/9/case.cpp
+++ b/review/9/case.cpp
@@ -14,13 +14,15 @@
     settings.discovery = discovery.address();
     for (Shelf* shelf : {&c1, &c2, &parent, &origin})
         settings.known += (settings.known.empty() ? "" : ",") + shelf->server().entry("active");
-    const int port = free_port(), first_control = free_port(), second_control = free_port(), dns = free_port();
+    const int port = free_port(), first_control = free_port(), second_control = free_port(),
+              dns = free_port();
     const std::string config = folder.path() + "/config.json", operators = folder.path() + "/silverrail.json";
     write_file(config, config_text(settings, port, first_control));
-    write_file(operators, "{\"dns\":{\"udp\":\"127.0.0.1:" + std::to_string(dns) +
-                              "\",\"zone\":\"route.branch-cache-qld.example\","
-                              "\"server\":\"ns1.route.branch-cache-qld.example\",\"server_address\":\"127.0.0.1\","
-                              "\"mailbox\":\"hostmaster.branch-cache-qld.example\",\"ttl_s\":1,\"deadline_ms\":1000}}");
+    write_file(operators,
+               "{\"dns\":{\"udp\":\"127.0.0.1:" + std::to_string(dns) +
+                   "\",\"zone\":\"route.branch-cache-qld.example\","
+                   "\"server\":\"ns1.route.branch-cache-qld.example\",\"server_address\":\"127.0.0.1\","
+                   "\"mailbox\":\"hostmaster.branch-cache-qld.example\",\"ttl_s\":1,\"deadline_ms\":1000}}");
     Router first{argv[1], folder.path(), config, port, first_control, operators, "first.log"};
     if (!first.wait_ready(port, 20'000) || !control(first_control, "HEALTH").starts_with("ACK"))
         return kCouldNot;
@@ -47,7 +49,8 @@
     }
     readers.stop();
     record.line("clients: asked %d, served %d, refused %d, failed %d, unanswered %d", readers.asked.load(),
-                readers.served.load(), readers.refused.load(), readers.failed.load(), readers.unanswered.load());
+                readers.served.load(), readers.refused.load(), readers.failed.load(),
+                readers.unanswered.load());
     if (readers.served < 20 || first.exited())
         return kCouldNot;
     ::printf("%s\n", broken ? "the second process ended by itself or gave no yes" : "no process ended");
--- a/review/common-2/deployment.h
+++ b/review/common-2/deployment.h
@@ -1,4 +1,5 @@
-// A small deployment for the cases: caches in the zone edge-1, a parent and the origin, all holding every object.
+// A small deployment for the cases: caches in the zone edge-1, a parent and the origin, all holding every
+// object.
 #pragma once
 
 #include "kit.h"
@@ -67,7 +68,8 @@
 public:
     Readers(int port, int clients, int pause_ms) {
         for (int i = 0; i < clients; ++i)
-            threads_.emplace_back([this, port, pause_ms, i] { read(port, pause_ms, static_cast<unsigned>(i)); });
+            threads_.emplace_back(
+                [this, port, pause_ms, i] { read(port, pause_ms, static_cast<unsigned>(i)); });
     }
     ~Readers() {
         stop();
@@ -91,16 +93,21 @@
         while (!stop_) {
             drawn = drawn * 1664525 + 1013904223;
             const std::string id = new_id();
-            const Answer answer =
-                ask(port, client_request("GET", "bulk-files", object_id(drawn >> 8), id, 5000,
-                                         static_cast<int>(drawn >> 24), "Reserve-Kb: 400\r\n"),
-                    5600);
+            const Answer answer = ask(port,
+                                      client_request("GET", "bulk-files", object_id(drawn >> 8), id, 5000,
+                                                     static_cast<int>(drawn >> 24), "Reserve-Kb: 400\r\n"),
+                                      5600);
             ++asked;
             const int status = answer.status();
-            ++(status == 200 ? served : status == 503 || status == 429 ? refused : status ? failed : unanswered);
+            ++(status == 200                    ? served
+               : status == 503 || status == 429 ? refused
+               : status                         ? failed
+                                                : unanswered);
             taken_unanswered += status == 0 && answer.sent_ms != 0 ? 1 : 0;
             record.line("client: id %s answered %d%s", id.c_str(), status,
-                        status != 0 ? "" : answer.sent_ms != 0 ? ": the connection ended" : ": no connection");
+                        status != 0           ? ""
+                        : answer.sent_ms != 0 ? ": the connection ended"
+                                              : ": no connection");
             sleep_ms(pause_ms);
         }
     }
--- a/review/common-2/kit.h
+++ b/review/common-2/kit.h
@@ -1,5 +1,6 @@
-// What the cases of the second review share: a record, stand-in servers, discovery and clients on loopback, and the
-// router as a process of its own. Blocking sockets, one thread for each connection. Times are of the real clock.
+// What the cases of the second review share: a record, stand-in servers, discovery and clients on loopback,
+// and the router as a process of its own. Blocking sockets, one thread for each connection. Times are of the
+// real clock.
 #pragma once
 
 #include <arpa/inet.h>
@@ -182,7 +183,8 @@
 
 enum class Read { whole, end, late };
 
-// Reads one message with a Content-Length or without a body. `buffer` holds bytes beyond it for the next call.
+// Reads one message with a Content-Length or without a body. `buffer` holds bytes beyond it for the next
+// call.
 inline Read read_message(int fd, std::string& buffer, Message& message, std::int64_t wait_ms,
                          const std::atomic<bool>* stop = nullptr) {
     const std::int64_t until = steady_ms() + wait_ms;
@@ -261,7 +263,9 @@
         fd_ = listen_at(port, &port_);
         if (fd_ < 0)
             return false;
-        acceptor_ = std::thread{[this] { accept(); }};
+        acceptor_ = std::thread{[this] {
+            accept();
+        }};
         return true;
     }
     // Ends as a process does: its connections end with it, new ones are refused.
@@ -276,8 +280,8 @@
             ::close(fd);
         cut_ = false;
     }
-    // As a machine that is cut off: open connections stay open and silent, new ones never come up. For the latter the
-    // queue of connections to accept is made as short as it can be, and filled.
+    // As a machine that is cut off: open connections stay open and silent, new ones never come up. For the
+    // latter the queue of connections to accept is made as short as it can be, and filled.
     void cut() {
         cut_ = true;
         ::listen(fd_, 0);
@@ -374,10 +378,11 @@
     // Its entry in the list.
     std::string entry(const char* state, std::int64_t started_ms = 0) const {
         char text[512];
-        ::snprintf(text, sizeof text,
-                   R"({"id":"%s","addr":"%s","zone":"%s","kind":"%s","cell":1,"state":"%s","weight":%g,"started_ms":%lld})",
-                   id_.c_str(), listener_.address().c_str(), zone_.c_str(), kind_.c_str(), state, weight_,
-                   static_cast<long long>(started_ms));
+        ::snprintf(
+            text, sizeof text,
+            R"({"id":"%s","addr":"%s","zone":"%s","kind":"%s","cell":1,"state":"%s","weight":%g,"started_ms":%lld})",
+            id_.c_str(), listener_.address().c_str(), zone_.c_str(), kind_.c_str(), state, weight_,
+            static_cast<long long>(started_ms));
         return text;
     }
 
@@ -391,7 +396,8 @@
 class Discovery {
 public:
     explicit Discovery(std::int64_t first_number = 2)
-        : first_(first_number), listener_([this](int fd, const std::atomic<bool>& stop) { serve(fd, stop); }) {}
+        : first_(first_number),
+          listener_([this](int fd, const std::atomic<bool>& stop) { serve(fd, stop); }) {}
     std::string address() const {
         return listener_.address();
     }
@@ -406,7 +412,8 @@
         const std::int64_t number = first_ + static_cast<std::int64_t>(events_.size());
         events_.push_back("{\"no\":" + std::to_string(number) + "," + what + "}");
         published_.push_back(steady_ms());
-        record.line("discovery: event %lld is in the bulletin: %s", static_cast<long long>(number), what.c_str());
+        record.line("discovery: event %lld is in the bulletin: %s", static_cast<long long>(number),
+                    what.c_str());
         return number;
     }
     std::int64_t publish_list(const std::vector<std::string>& entries) {
@@ -514,10 +521,12 @@
 inline std::string client_request(const std::string& method, const std::string& class_name,
                                   const std::string& object, const std::string& id, int max_wait_ms, int lot,
                                   const std::string& more = {}, const std::string& body = {}) {
-    return method + " /ops/" + class_name + "/" + object + "/piece-0 HTTP/1.1\r\nHost: app.svc\r\nTrace-Id: " + id +
-           "\r\nMax-Wait-Ms: " + std::to_string(max_wait_ms) + "\r\nX-Lot: " + std::to_string(lot) + "\r\n" + more +
-           (method == "PUT" ? "Content-Length: " + std::to_string(body.size()) + "\r\n" : std::string{}) + "\r\n" +
-           body;
+    return method + " /ops/" + class_name + "/" + object +
+           "/piece-0 HTTP/1.1\r\nHost: app.svc\r\nTrace-Id: " + id +
+           "\r\nMax-Wait-Ms: " + std::to_string(max_wait_ms) + "\r\nX-Lot: " + std::to_string(lot) + "\r\n" +
+           more +
+           (method == "PUT" ? "Content-Length: " + std::to_string(body.size()) + "\r\n" : std::string{}) +
+           "\r\n" + body;
 }
 // On a connection of its own, which it closes.
 inline Answer ask(int port, const std::string& request, std::int64_t wait_ms) {
@@ -565,7 +574,7 @@
     std::string name = "n1";
     std::string zone = "edge-1";
     std::string discovery;
-    std::string known;                // the servers' entries
+    std::string known;  // the servers' entries
     std::int64_t known_number = 1;
     int bulk_give_up_ms = 5000;
     double kb_per_s = 6400;
