--- a/src/net/discovery_watch.cpp
+++ b/src/net/discovery_watch.cpp
@@ -16,10 +16,10 @@
 constexpr std::chrono::milliseconds kConnectTimeout{1000};
 
 // Under load the server responds slowly, and a request that is abandoned and repeated at each timeout would
-// never get a response. So connections without a response are kept open beside the next one, up to this age
-// and number.
-constexpr std::chrono::milliseconds kMaxResponseTime{10'000};
-constexpr std::size_t kMaxUnanswered = 2;
+// never get a response. So connections without a response are kept open beside the next one: this many, which
+// keeps each for longer than it takes until events count as told (7 s), and the oldest up to this age.
+constexpr std::size_t kMaxUnanswered = 5;
+constexpr std::chrono::seconds kMaxResponseTime{60};
 
 // Missed events usually follow right after the response header, so a stream counts as live with the first
 // line that arrives later than this. It proves nothing: missed events may arrive at any later time. Counted
@@ -60,6 +60,7 @@
     std::array<char, kChunkBytes> chunk{};
     SseParser events;
     std::chrono::steady_clock::time_point response_header_at{};
+    bool selected = false;  // the one that is read, since its first complete line
     bool closed = false;
 };
 
@@ -126,11 +127,7 @@
     request.set(http::field::host, server_.address().to_string() + ":" + std::to_string(server_.port()));
     request.set(http::field::accept, "text/event-stream");
     request.set(kResumeAfter, std::to_string(last_event_));
-    connection->timeout.expires_after(kSilenceTimeout);
-    connection->timeout.async_wait([this, connection](const error_code& error) {
-        if (!error && !connection->closed)
-            on_slow_response(connection);
-    });
+    start_response_timer(connection);
     http::async_write(connection->socket, request, [this, connection](const error_code& error, std::size_t) {
         if (connection->closed)
             return;
@@ -153,8 +150,18 @@
                             });
 }
 
-// The first connection with a response is read; the others are closed.
 void DiscoveryWatch::on_response_header(const ConnectionPointer& connection) {
+    connection->response_header_at = std::chrono::steady_clock::now();
+    if (current_ == connection)
+        start_response_timer(connection);
+    read_events(connection);
+}
+
+// The first connection that delivers a complete line is read on; the others are closed. A header alone does
+// not suffice: a slow server may send it long before the first line.
+void DiscoveryWatch::select(const ConnectionPointer& connection) {
+    if (std::exchange(connection->selected, true))
+        return;
     if (current_ != connection) {
         if (current_)
             current_->close();
@@ -164,9 +171,14 @@
     std::erase(unanswered_, connection);
     close_all(std::exchange(unanswered_, {}));
     log_.line("discovery-up", "resuming after event %lld", static_cast<long long>(last_event_));
-    connection->response_header_at = std::chrono::steady_clock::now();
-    restart_silence_timer(connection);
-    read_events(connection);
+}
+
+void DiscoveryWatch::start_response_timer(const ConnectionPointer& connection) {
+    connection->timeout.expires_after(kSilenceTimeout);
+    connection->timeout.async_wait([this, connection](const error_code& error) {
+        if (!error && !connection->closed)
+            on_slow_response(connection);
+    });
 }
 
 // No response in time: the server may be slow or dead. Keeps this connection waiting and opens another.
@@ -181,13 +193,19 @@
             fail(connection, "no response in time");
     });
     unanswered_.push_back(std::exchange(current_, nullptr));
-    if (unanswered_.size() > kMaxUnanswered) {
-        unanswered_.front()->close();
-        unanswered_.erase(unanswered_.begin());
-    }
+    if (unanswered_.size() > kMaxUnanswered)
+        close_second_oldest();
     reconnect_after_backoff();
 }
 
+// Not the oldest: a response to it is due first, however slow the server is.
+void DiscoveryWatch::close_second_oldest() {
+    const auto second = unanswered_.begin() + 1;
+    log_.line("discovery-slow", "too many requests without a response, giving up the second oldest");
+    (*second)->close();
+    unanswered_.erase(second);
+}
+
 void DiscoveryWatch::close_all(const std::vector<ConnectionPointer>& connections) {
     for (const auto& connection : connections)
         connection->close();
@@ -209,8 +227,10 @@
     const auto lines_before = connection->events.lines();
     const bool within_bounds =
         connection->events.feed({connection->chunk.data(), size}, [&](const SseParser::Event& event) {
-            if (!connection->closed)
-                on_event(connection, event);
+            if (connection->closed)
+                return;
+            select(connection);
+            on_event(connection, event);
         });
     if (connection->closed)
         return;
@@ -226,6 +246,7 @@
 }
 
 void DiscoveryWatch::on_line(const ConnectionPointer& connection) {
+    select(connection);
     restart_silence_timer(connection);
     const auto now = std::chrono::steady_clock::now();
     if (now < connection->response_header_at + kUsualCatchUpTime)
--- a/src/net/discovery_watch.h
+++ b/src/net/discovery_watch.h
@@ -21,7 +21,7 @@
         std::uint64_t connects = 0;
         std::uint64_t unreadable = 0;  // events that could not be parsed, counted on every delivery
         std::uint64_t gaps = 0;        // gaps in the event numbers, counted on every delivery
-        std::uint64_t slow = 0;        // connections without a response within kSilenceTimeout
+        std::uint64_t slow = 0;        // connections without a line of response within kSilenceTimeout
     };
     // The server sends a comment every second; a connection that brings no complete line for this long is
     // considered dead. Incomplete lines do not count, as a stream that never ends a line delivers no event.
@@ -74,7 +74,10 @@
     void send_request(const ConnectionPointer& connection);
     void read_response_header(const ConnectionPointer& connection);
     void on_response_header(const ConnectionPointer& connection);
+    void start_response_timer(const ConnectionPointer& connection);
     void on_slow_response(const ConnectionPointer& connection);
+    void close_second_oldest();
+    void select(const ConnectionPointer& connection);
     void read_events(const ConnectionPointer& connection);
     void on_bytes(const ConnectionPointer& connection, const error_code& error);
     void on_line(const ConnectionPointer& connection);
@@ -94,7 +97,7 @@
     Log& log_;
     asio::steady_timer reconnect_timer_;
     ConnectionPointer current_;  // the one that is read or being opened; null: waiting to reconnect
-    std::vector<ConnectionPointer> unanswered_;  // earlier ones still without a response, oldest first
+    std::vector<ConnectionPointer> unanswered_;  // earlier ones still without a line, oldest first
     Backoff backoff_;
     std::function<void(std::chrono::steady_clock::time_point)> on_live_;
     std::function<void(std::chrono::steady_clock::time_point)> on_interrupted_;
--- a/tests/silverrail/discovery_test.cpp
+++ b/tests/silverrail/discovery_test.cpp
@@ -223,6 +223,42 @@
     CHECK(!watch.live);
 }
 
+// review/10: discovery that responded to each request after 6.8 s was never heard, as each was abandoned
+// before. Events count as told after 7 s, so a request is kept for longer, and the oldest whatever follows.
+void slow_responses_are_awaited() {
+    struct Case {
+        const char* name;
+        std::string at_once;  // sent in response to each request when it arrives
+        std::string later;    // sent after `delay`
+        std::chrono::milliseconds delay;
+    };
+    const Case cases[] = {
+        {"a response after 6.8 s", "", kHead + event(2, "a"), 6800ms},
+        {"a header at once, and the first line after 6.8 s", kHead, event(2, "a"), 6800ms},
+        {"a response after 15 s", "", kHead + event(2, "a"), 15s},
+    };
+    constexpr std::size_t kMaxOpen = 6;
+    for (const Case& c : cases) {
+        asio::io_context io;
+        DiscoveryServer server{io};
+        Watch watch{io, server.address()};
+        auto& first = await_request(io, server, 1);
+        const auto respond_at = std::chrono::steady_clock::now() + c.delay;
+        std::size_t responded = 0;
+        run_until(io, [&] {
+            for (; responded < server.connections.size() && server.connections[responded]->requested;)
+                server.connections[responded++]->send(c.at_once);
+            CHECK(server.open() <= kMaxOpen);
+            return std::chrono::steady_clock::now() >= respond_at;
+        });
+        std::printf("  %s\n", c.name);
+        CHECK(!first.closed && server.connections.size() > 3);
+        first.send(c.later);
+        run_until(io, [&] { return watch.received.size() == 1 && server.open() == 1; });
+        CHECK(!first.closed && watch.discovery.counters().slow + 1 >= server.connections.size());
+    }
+}
+
 // Missed events may be told long after the stream is live, so they may be as old as the interruption. The
 // stream was live until its last line, not until its end is noticed.
 void missed_events_may_be_told_while_live() {
@@ -301,6 +337,7 @@
     bad_events_are_fetched_once_more();
     an_unterminated_line_counts_as_silence();
     slow_responses_are_not_live();
+    slow_responses_are_awaited();
     missed_events_may_be_told_while_live();
     moves_keep_event_numbers();
     closed_connections_are_retried_with_backoff();
