--- a/src/app/dns_part.cpp
+++ b/src/app/dns_part.cpp
@@ -61,7 +61,7 @@
 void DnsPart::start() {
     front_end_.emplace(with_.engine, with_.clock, zone_settings(dns_), with_.log);
     server_.emplace(
-        with_.io, net::DnsServerLimits{},
+        with_.io, net::DnsServerLimits{.port = with_.port},
         [this](std::string_view query, const net::DnsQuerySource& source, net::DnsReplyHandler reply) {
             front_end_->handle(query, source, std::move(reply));
         },
--- a/src/app/dns_part.h
+++ b/src/app/dns_part.h
@@ -23,6 +23,7 @@
         core::Timers& timers;
         Log& log;
         std::uint64_t seed;  // of the ACME client's backoff
+        net::Port port;      // shared: another process of this router may serve at the same addresses
     };
     DnsPart(Dependencies dependencies, const config::OperatorSettings& settings);
     ~DnsPart() override;
--- a/src/app/optional_parts.cpp
+++ b/src/app/optional_parts.cpp
@@ -96,9 +96,10 @@
 }
 
 void OptionalParts::add_dns() {
-    add(std::make_unique<DnsPart>(DnsPart::Dependencies{with_.io, with_.engine, with_.clock, with_.timers,
-                                                        with_.log, with_.config.seed},
-                                  with_.settings));
+    add(std::make_unique<DnsPart>(
+        DnsPart::Dependencies{with_.io, with_.engine, with_.clock, with_.timers, with_.log, with_.config.seed,
+                              port_sharing(with_.config)},
+        with_.settings));
 }
 
 void OptionalParts::start() {
--- a/src/app/resource_limits.cpp
+++ b/src/app/resource_limits.cpp
@@ -32,12 +32,15 @@
     return limits;
 }
 
+// With a control address an operator can check a new process beside the old one, so both may listen.
+net::Port port_sharing(const config::Config& config) {
+    return config.control.empty() ? net::Port::exclusive : net::Port::shared;
+}
+
 net::HttpLimits client_limits(const config::Config& config, const limits::ProcessQuota& quota) {
     net::HttpLimits limits;
     limits.connections = quota.client_connections;
-    // With a control address an operator can check a new process beside the old one, so both may listen.
-    if (!config.control.empty())
-        limits.port = net::Listener::Port::shared;
+    limits.port = port_sharing(config);
     return limits;
 }
 
--- a/src/app/resource_limits.h
+++ b/src/app/resource_limits.h
@@ -16,6 +16,8 @@
 limits::RouterLimits total_resources(const config::Config& config, const config::OperatorSettings& settings);
 
 net::ConnectionPoolLimits pool_limits(const config::Config& config, const limits::ProcessQuota& quota);
+// Whether another process of this router may listen at its addresses.
+net::Port port_sharing(const config::Config& config);
 net::HttpLimits client_limits(const config::Config& config, const limits::ProcessQuota& quota);
 cache::CacheLimits cache_limits(const config::Config& config, const limits::ProcessQuota& quota);
 
--- a/src/net/dns_server.cpp
+++ b/src/net/dns_server.cpp
@@ -8,8 +8,7 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds kAcceptRetryDelay{50};
-constexpr int kBacklog = 128;
+constexpr int kMaxQueuedDatagrams = 4096;  // handled when the server stops
 constexpr unsigned kBitsPerByte = 8;
 
 std::string length_prefix(std::size_t size) {
@@ -21,6 +20,8 @@
 struct DnsServer::Session {
     virtual ~Session() = default;
     virtual void close() = 0;
+    // Closes it once its queries are answered; reads no further ones.
+    virtual void finish() = 0;
 };
 
 // One TCP or TLS connection. Its pending reads and writes keep it alive; it refers to the server until it is
@@ -58,6 +59,11 @@
         server_.sessions_.erase(this);
     }
 
+    void finish() override {
+        if (!closed_)
+            on_end_of_input();
+    }
+
 private:
     void start_handshake() {
         stream_.async_handshake(asio::ssl::stream_base::server,
@@ -149,7 +155,8 @@
             on_end_of_input();
     }
 
-    // The client has ended its side of the stream; its earlier queries still get their responses.
+    // The client has ended its side of the stream, or the server stops; earlier queries still get their
+    // responses.
     void on_end_of_input() {
         input_ended_ = true;
         if (unanswered_ == 0 && unsent_.empty() && !writing_)
@@ -186,23 +193,47 @@
 
 DnsServer::~DnsServer() {
     *alive_ = false;
-    stop();
+    stopped_ = true;
+    // Iterates over a copy, as each session removes itself from sessions_.
+    for (auto& [session, weak] : std::map{sessions_})
+        if (const auto alive = weak.lock())
+            alive->close();
 }
 
 void DnsServer::stop() {
     if (std::exchange(stopped_, true))
         return;
-    error_code ignored;
+    for (auto* listener : {&tcp_listener_, &tls_listener_})
+        if (*listener)
+            (*listener)->stop();
     if (udp_)
-        udp_->close(ignored);
-    if (tcp_acceptor_)
-        tcp_acceptor_->close(ignored);
-    if (tls_acceptor_)
-        tls_acceptor_->close(ignored);
-    // Iterates over a copy, as each session removes itself from sessions_.
+        stop_receiving();
     for (auto& [session, weak] : std::map{sessions_})
         if (const auto alive = weak.lock())
-            alive->close();
+            alive->finish();
+}
+
+// The datagrams that have arrived belong to this process, and another one never sees them.
+void DnsServer::stop_receiving() {
+    error_code error;
+    udp_->cancel(error);
+    std::array<char, kMaxDatagramBytes> query{};
+    asio::ip::udp::endpoint sender;
+    for (int i = 0; i < kMaxQueuedDatagrams; ++i) {
+        const std::size_t size = udp_->receive_from(asio::buffer(query), sender, 0, error);
+        if (error)
+            break;
+        on_datagram({query.data(), size}, sender);
+    }
+    receiving_ = false;
+    close_if_answered();
+}
+
+void DnsServer::close_if_answered() {
+    const bool unanswered = alive_.use_count() > 1;
+    error_code ignored;
+    if (!receiving_ && !unanswered)
+        udp_->close(ignored);
 }
 
 const std::string& DnsServer::bytes_to_send(const DnsReply& reply) const {
@@ -211,70 +242,52 @@
 }
 
 void DnsServer::listen_udp(const asio::ip::udp::endpoint& at) {
-    udp_.emplace(io_, at);
+    udp_.emplace(io_, at.protocol());
+    if (limits_.port == Port::shared)
+        allow_sharing(*udp_);
+    udp_->bind(at);
+    if (limits_.port == Port::shared)
+        route_to_latest(udp_->native_handle(), log_);
     udp_->non_blocking(true);
+    receiving_ = true;
     receive();
 }
 
 void DnsServer::receive() {
-    udp_->async_receive_from(asio::buffer(datagram_), datagram_sender_,
-                             [this](const error_code& error, std::size_t size) {
-                                 if (stopped_ || error == asio::error::operation_aborted)
-                                     return;
-                                 if (!error)
-                                     on_datagram({datagram_.data(), size});
-                                 receive();
-                             });
+    udp_->async_receive_from(
+        asio::buffer(datagram_), datagram_sender_,
+        [this, server = std::weak_ptr{alive_}](const error_code& error, std::size_t size) {
+            if (error == asio::error::operation_aborted || server.expired())
+                return;
+            if (!error)
+                on_datagram({datagram_.data(), size}, datagram_sender_);
+            if (!stopped_)
+                receive();
+        });
 }
 
-void DnsServer::on_datagram(std::string_view query) {
-    const DnsQuerySource source{.datagram = true, .client = client_address(datagram_sender_.address())};
-    handler_(query, source, [this, to = datagram_sender_, alive = alive_](const DnsReply& reply) {
-        if (!*alive || stopped_)
+void DnsServer::on_datagram(std::string_view query, const asio::ip::udp::endpoint& sender) {
+    const DnsQuerySource source{.datagram = true, .client = client_address(sender.address())};
+    handler_(query, source, [this, to = sender, alive = alive_](const DnsReply& reply) mutable {
+        if (!*alive)
             return;
         // A response that cannot be sent at once is dropped, as any datagram may be: the resolver retries.
         error_code ignored;
         udp_->send_to(asio::buffer(bytes_to_send(reply)), to, 0, ignored);
+        alive.reset();
+        if (stopped_)
+            close_if_answered();
     });
 }
 
-tcp::acceptor DnsServer::open_acceptor(const tcp::endpoint& at) {
-    tcp::acceptor acceptor{io_};
-    acceptor.open(at.protocol());
-    acceptor.set_option(tcp::acceptor::reuse_address(true));
-    acceptor.bind(at);
-    acceptor.listen(kBacklog);
-    return acceptor;
-}
-
 void DnsServer::listen_tcp(const tcp::endpoint& at) {
-    tcp_acceptor_ = open_acceptor(at);
-    accept(*tcp_acceptor_, false);
+    tcp_listener_.emplace(io_, at, limits_.port, log_);
+    tcp_listener_->start([this](tcp::socket socket) { start_session(std::move(socket), false); });
 }
 
 void DnsServer::listen_tls(const tcp::endpoint& at) {
-    tls_acceptor_ = open_acceptor(at);
-    accept(*tls_acceptor_, true);
-}
-
-void DnsServer::accept(tcp::acceptor& acceptor, bool secure) {
-    acceptor.async_accept([this, &acceptor, secure](const error_code& error, tcp::socket socket) {
-        if (stopped_ || error == asio::error::operation_aborted)
-            return;
-        if (error)
-            return accept_after_error(acceptor, secure, error);
-        start_session(std::move(socket), secure);
-        accept(acceptor, secure);
-    });
-}
-
-void DnsServer::accept_after_error(tcp::acceptor& acceptor, bool secure, const error_code& error) {
-    log_.line("no-descriptors", "cannot accept a DNS connection: %s", error.message().c_str());
-    auto timer = std::make_shared<asio::steady_timer>(io_, kAcceptRetryDelay);
-    timer->async_wait([this, timer, alive = alive_, &acceptor, secure](const error_code& wait_error) {
-        if (!wait_error && *alive && !stopped_)
-            accept(acceptor, secure);
-    });
+    tls_listener_.emplace(io_, at, limits_.port, log_);
+    tls_listener_->start([this](tcp::socket socket) { start_session(std::move(socket), true); });
 }
 
 void DnsServer::start_session(tcp::socket socket, bool secure) {
--- a/src/net/dns_server.h
+++ b/src/net/dns_server.h
@@ -12,6 +12,7 @@
 
 #include "core/ports.h"
 #include "log/log.h"
+#include "net/listener.h"
 #include "net/tls.h"
 
 namespace silverrail::net {
@@ -39,6 +40,7 @@
     std::size_t query_bytes = 4096;           // of a query on a stream
     // Without a complete query or a written response; a partial query does not count.
     std::chrono::milliseconds idle_timeout{5000};
+    Port port = Port::exclusive;
 };
 
 class DnsServer {
@@ -57,7 +59,8 @@
     void use_certificate(std::shared_ptr<asio::ssl::context> context) {
         tls_context_ = std::move(context);
     }
-    // Closes the listeners and all connections.
+    // Takes nothing new: closes the listeners, and the connections and the datagram socket once every query
+    // that has arrived is answered.
     void stop();
 
     // Each is valid only while the server listens on that transport.
@@ -65,26 +68,26 @@
         return udp_->local_endpoint();
     }
     tcp::endpoint tcp_local() const {
-        return tcp_acceptor_->local_endpoint();
+        return tcp_listener_->local();
     }
     tcp::endpoint tls_local() const {
-        return tls_acceptor_->local_endpoint();
+        return tls_listener_->local();
     }
     std::size_t connections() const {
         return sessions_.size();
     }
 
 private:
+    static constexpr std::size_t kMaxDatagramBytes = 4096;
     struct Session;
     template <class Stream>
     class StreamSession;
 
     void receive();
-    void on_datagram(std::string_view query);
-    void accept(tcp::acceptor& acceptor, bool secure);
-    void accept_after_error(tcp::acceptor& acceptor, bool secure, const error_code& error);
+    void on_datagram(std::string_view query, const asio::ip::udp::endpoint& sender);
+    void stop_receiving();
+    void close_if_answered();
     void start_session(tcp::socket socket, bool secure);
-    tcp::acceptor open_acceptor(const tcp::endpoint& at);
     const std::string& bytes_to_send(const DnsReply& reply) const;
 
     asio::io_context& io_;
@@ -94,12 +97,14 @@
     Log& log_;
     std::shared_ptr<asio::ssl::context> tls_context_;
     std::optional<asio::ip::udp::socket> udp_;
-    std::optional<tcp::acceptor> tcp_acceptor_;
-    std::optional<tcp::acceptor> tls_acceptor_;
+    std::optional<Listener> tcp_listener_;
+    std::optional<Listener> tls_listener_;
     asio::ip::udp::endpoint datagram_sender_;
-    std::array<char, 4096> datagram_{};
+    std::array<char, kMaxDatagramBytes> datagram_{};
     std::map<Session*, std::weak_ptr<Session>> sessions_;
+    // Held by each datagram that is not answered yet; false once the server is destroyed.
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+    bool receiving_ = false;  // datagrams
     bool stopped_ = false;
 };
 
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -35,7 +35,7 @@
     std::chrono::milliseconds write_timeout{60'000};              // for a whole response
     std::chrono::milliseconds linger_timeout{500};  // for discarding input after the last response
     std::size_t max_linger_bytes = 1UL << 20;
-    Listener::Port port = Listener::Port::exclusive;
+    Port port = Port::exclusive;
 };
 
 struct HttpCounters {
--- a/src/net/line_server.cpp
+++ b/src/net/line_server.cpp
@@ -24,10 +24,7 @@
 
 LineServer::LineServer(asio::io_context& io, const tcp::endpoint& at, LineLimits limits, Handler handler,
                        Log& log)
-    : io_(io),
-      listener_(io, at, Listener::Port::exclusive, log),
-      limits_(limits),
-      handler_(std::move(handler)) {}
+    : io_(io), listener_(io, at, Port::exclusive, log), limits_(limits), handler_(std::move(handler)) {}
 
 LineServer::~LineServer() {
     while (!connections_.empty())
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -1,10 +1,6 @@
 #include "net/listener.h"
 
-#include <linux/filter.h>
-#include <sys/socket.h>
-
 #include <cerrno>
-#include <cstring>
 
 namespace silverrail::net {
 
@@ -13,7 +9,6 @@
 constexpr std::chrono::milliseconds kRetryDelay{20};
 constexpr int kMaxBacklogTries = 20;  // to accept the backlog, kRetryDelay apart
 constexpr int kMaxAborted = 4096;     // failed connections skipped in one try
-using ReusePort = asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
 }  // namespace
 
 Listener::Listener(asio::io_context& io, const tcp::endpoint& at, Port port, Log& log)
@@ -24,31 +19,16 @@
     acceptor_.set_option(asio::socket_base::enable_connection_aborted(true));
     acceptor_.set_option(tcp::acceptor::reuse_address(true));
     if (port == Port::shared)
-        acceptor_.set_option(ReusePort(true));
+        allow_sharing(acceptor_);
     acceptor_.bind(at);
 }
 
-// Routes all new connections to the process that started to listen later, of two that share the port. So the
-// backlog of the earlier one is empty long before it closes its socket; a connection that arrives between its
-// last accept and the close would be reset. If the kernel rejects the filter, it distributes connections over
-// both.
-void Listener::route_to_latest() {
-    sock_filter latest[] = {
-        BPF_STMT(BPF_RET | BPF_K, 1)};  // index of the second of two listeners; ignored if there is only one
-    const sock_fprog program{1, latest};
-    if (::setsockopt(acceptor_.native_handle(), SOL_SOCKET, SO_ATTACH_REUSEPORT_CBPF, &program,
-                     sizeof program) != 0)
-        log_.line("shared-port",
-                  "cannot attach the filter, connections are distributed over all processes: %s",
-                  std::strerror(errno));
-}
-
 void Listener::start(AcceptHandler on_accept) {
     on_accept_ = std::move(on_accept);
     acceptor_.listen(kBacklog);
     acceptor_.non_blocking(true);
     if (port_ == Port::shared)
-        route_to_latest();
+        route_to_latest(acceptor_.native_handle(), log_);
     accept();
 }
 
--- a/src/net/listener.h
+++ b/src/net/listener.h
@@ -7,6 +7,7 @@
 
 #include "log/log.h"
 #include "net/asio.h"
+#include "net/shared_port.h"
 
 namespace silverrail::net {
 
@@ -19,9 +20,6 @@
         std::uint64_t pauses = 0;   // for lack of descriptors, buffers or memory
     };
 
-    // exclusive: a second listener at the address is an error. shared: several processes of one router may
-    // listen there; the one that started to listen last accepts the connections.
-    enum class Port { exclusive, shared };
     // Binds at once; throws boost::system::system_error if it cannot.
     Listener(asio::io_context& io, const tcp::endpoint& at, Port port, Log& log);
     // Starts to listen; no client can connect before.
@@ -48,7 +46,6 @@
     // the process or host lacks the resources to accept any.
     enum class AcceptError { backlog_empty, connection_failed, out_of_resources };
     static AcceptError classify(const error_code& error);
-    void route_to_latest();
     void accept();
     void handle_accept(const error_code& error, tcp::socket socket);
     void on_out_of_resources(const error_code& error);
--- a/tests/connections/shutdown_test.cpp
+++ b/tests/connections/shutdown_test.cpp
@@ -107,7 +107,7 @@
 void connection_accepted_with_the_stop_is_handled(int handlers_before) {
     asio::io_context io;
     Log log;
-    net::Listener listener{io, loopback(), net::Listener::Port::exclusive, log};
+    net::Listener listener{io, loopback(), net::Port::exclusive, log};
     std::vector<tcp::socket> accepted;
     listener.start([&](tcp::socket socket) { accepted.push_back(std::move(socket)); });
     run_until(io, [&] { return io.poll() == 0; });
--- a/tests/dns/server_test.cpp
+++ b/tests/dns/server_test.cpp
@@ -87,9 +87,43 @@
     }
 }
 
+// A server that stops answers the queries that have come, also those that it has not read yet, and then
+// closes.
+void a_stopped_server_answers_what_has_come() {
+    net::asio::io_context io;
+    ManualClock clock;
+    Log log;
+    std::vector<net::DnsReplyHandler> held;
+    net::DnsServer server{
+        io, {}, [&](auto, auto, auto reply) { held.push_back(std::move(reply)); }, clock, log};
+    server.listen_udp({net::asio::ip::make_address("127.0.0.1"), 0});
+    server.listen_tcp(loopback());
+    tcp::socket stream{io};
+    stream.connect(server.tcp_local());
+    net::asio::write(stream, net::asio::buffer(with_length("query")));
+    run_until(io, [&] { return held.size() == 1; });
+    net::asio::ip::udp::socket socket{io, {net::asio::ip::udp::v4(), 0}};
+    const auto at = server.udp_local();
+    for (int i = 0; i < 2; ++i)
+        socket.send_to(net::asio::buffer("query"s), at);
+    server.stop();
+    CHECK(held.size() == 3);
+    StreamReader reader{stream};
+    for (auto& reply : std::exchange(held, {}))
+        reply({"answer"});
+    std::array<char, 64> buffer{};
+    for (int i = 0; i < 2; ++i)
+        CHECK(socket.receive(net::asio::buffer(buffer)) == 6);
+    run_until(io, [&] { return reader.complete_message(0) && server.connections() == 0; });
+    net::asio::ip::udp::socket next{io};
+    next.open(net::asio::ip::udp::v4());
+    next.bind(at);  // throws if the address is still in use
+}
+
 }  // namespace
 
 int main() {
+    a_stopped_server_answers_what_has_come();
     streams_carry_several_queries();
     late_replies_are_replaced_by_errors();
     std::puts("dns server: streamed queries get full responses, and late replies are replaced");
--- a/tests/silverrail/router_process.h
+++ b/tests/silverrail/router_process.h
@@ -101,6 +101,15 @@
     return send_command(io, control, "HEALTH").starts_with("ACK");
 }
 
+// Whether the process has ended, in good order or `killed`.
+inline bool has_ended(pid_t pid, bool killed) {
+    int status = 0;
+    if (::waitpid(pid, &status, WNOHANG) != pid)
+        return false;
+    CHECK(killed ? WIFSIGNALED(status) : WIFEXITED(status) && WEXITSTATUS(status) == 0);
+    return true;
+}
+
 struct ProcessOptions {
     int sockets = 256;
     int memory_mb = 64;
--- a/tests/silverrail/upgrade_test.cpp
+++ b/tests/silverrail/upgrade_test.cpp
@@ -185,14 +185,6 @@
     router.wait_for_down(router.second, "0\n");
 }
 
-bool has_ended(pid_t pid, bool killed) {
-    int status = 0;
-    if (::waitpid(pid, &status, WNOHANG) != pid)
-        return false;
-    CHECK(killed ? WIFSIGNALED(status) : WIFEXITED(status) && WEXITSTATUS(status) == 0);
-    return true;
-}
-
 // A further process of the program, once it says that it takes clients.
 struct Next {
     Next(asio::io_context& io, RouterProcess& program)
