--- a/src/cache/response_cache.cpp
+++ b/src/cache/response_cache.cpp
@@ -12,8 +12,6 @@
 constexpr double kObjectiveShare = 0.85;
 // Allowance for the time between a server's writing of a response's age and this router's clock reading.
 constexpr std::int64_t kAgeMarginMs = 20;
-// Largest difference between the clocks of the origin and of whoever issues purges.
-constexpr Span kClockTolerance = 100ms;
 constexpr Span kDeadlineMargin = 30ms;
 // Size of a "not modified" response relative to the full response.
 constexpr double kNotModifiedShare = 0.05;
--- a/src/cache/response_cache.h
+++ b/src/cache/response_cache.h
@@ -13,6 +13,9 @@
 
 namespace silverrail::cache {
 
+// Normal difference between the synchronised clocks of two machines.
+inline constexpr Span kClockTolerance = std::chrono::milliseconds{100};
+
 struct CacheLimits {
     std::size_t bytes = 0;
     UplinkRates uplink;
--- a/src/core/response_cache_stage.cpp
+++ b/src/core/response_cache_stage.cpp
@@ -5,11 +5,6 @@
 
 namespace silverrail::core {
 
-namespace {
-// Normal difference between the synchronised clocks of two machines.
-constexpr std::int64_t kClockToleranceMs = 100;
-}  // namespace
-
 void ResponseCacheStage::set_capacity(std::size_t bytes) {
     if (cache_)
         cache_->set_capacity(bytes);
@@ -70,7 +65,7 @@
         return;
     // A generation time in the future means that one of the clocks is wrong, and the response's age would be
     // underestimated for as long as it is cached.
-    if (result.generated_ms > unix_ms + kClockToleranceMs)
+    if (result.generated_ms > unix_ms + cache::kClockTolerance / std::chrono::milliseconds{1})
         return;
     const auto lookup = lookup_of(*request.client_request, request.class_index);
     if (!lookup)
--- a/src/net/dns_server.cpp
+++ b/src/net/dns_server.cpp
@@ -11,6 +11,12 @@
 constexpr int kMaxQueuedDatagrams = 4096;  // handled when the server stops
 constexpr unsigned kBitsPerByte = 8;
 
+// A datagram that is not answered yet may hold the flag beyond the server's life.
+bool is_alive(const std::weak_ptr<bool>& flag) {
+    const auto alive = flag.lock();
+    return alive && *alive;
+}
+
 std::string length_prefix(std::size_t size) {
     return {static_cast<char>(size >> kBitsPerByte & 0xff), static_cast<char>(size & 0xff)};
 }
@@ -193,7 +199,6 @@
 
 DnsServer::~DnsServer() {
     *alive_ = false;
-    stopped_ = true;
     // Iterates over a copy, as each session removes itself from sessions_.
     for (auto& [session, weak] : std::map{sessions_})
         if (const auto alive = weak.lock())
@@ -217,6 +222,7 @@
 void DnsServer::stop_receiving() {
     error_code error;
     udp_->cancel(error);
+    // Not `datagram_`: a read that has completed may still wait for its handler there.
     std::array<char, kMaxDatagramBytes> query{};
     asio::ip::udp::endpoint sender;
     for (int i = 0; i < kMaxQueuedDatagrams; ++i) {
@@ -257,7 +263,7 @@
     udp_->async_receive_from(
         asio::buffer(datagram_), datagram_sender_,
         [this, server = std::weak_ptr{alive_}](const error_code& error, std::size_t size) {
-            if (error == asio::error::operation_aborted || server.expired())
+            if (error == asio::error::operation_aborted || !is_alive(server))
                 return;
             if (!error)
                 on_datagram({datagram_.data(), size}, datagram_sender_);
@@ -275,8 +281,7 @@
         error_code ignored;
         udp_->send_to(asio::buffer(bytes_to_send(reply)), to, 0, ignored);
         alive.reset();
-        if (stopped_)
-            close_if_answered();
+        close_if_answered();
     });
 }
 
--- a/src/net/dns_server.h
+++ b/src/net/dns_server.h
@@ -104,7 +104,7 @@
     std::map<Session*, std::weak_ptr<Session>> sessions_;
     // Held by each datagram that is not answered yet; false once the server is destroyed.
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
-    bool receiving_ = false;  // datagrams
+    bool receiving_ = false;  // datagrams, until the server stops
     bool stopped_ = false;
 };
 
--- a/tests/silverrail/discovery_test.cpp
+++ b/tests/silverrail/discovery_test.cpp
@@ -246,7 +246,7 @@
         const auto respond_at = std::chrono::steady_clock::now() + c.delay;
         std::size_t responded = 0;
         run_until(io, [&] {
-            for (; responded < server.connections.size() && server.connections[responded]->requested;)
+            while (responded < server.connections.size() && server.connections[responded]->requested)
                 server.connections[responded++]->send(c.at_once);
             CHECK(server.open() <= kMaxOpen);
             return std::chrono::steady_clock::now() >= respond_at;
