Make a new replica store without waiting for the disk (silverrail_fleet_stall, seen once)

What was seen: silverrail_fleet_stall failed once in the project's check: 3 s after their start six of eight routers neither listened nor had joined the fleet. A deployment with peers and a slow disk under $TMPDIR starts as late.

Cause: making the store synchronised the disk ten times, one after the other, before the router listens. Evidence: in the failed run's logs m0 made its store in up to 165 ms, m2 was in a write to it, and the others had not come to the line after its making. strace of silverrail_fleet_join: 82 fdatasync, ten in each start. The disk of the failed run was not measured: replica-start now tells opened_ms. Change: a new file is made with synchronous=OFF, and goes on with NORMAL as before. Why it works: nothing is in it that could be lost; a kill loses nothing, a loss of power still only what has not been moved into the database, and leaves all or nothing. Tests: silverrail_replica_store, making_a_store_waits_for_no_disk, failed before ("check failed: disk_syncs == 0") and passes now; a_new_store_that_is_partly_lost_holds_all_or_nothing is new beside it. No bound of the fleet's tests was changed.

--- a/src/app/replica_part.cpp
+++ b/src/app/replica_part.cpp
@@ -50,12 +50,15 @@
 }  // namespace
 
 ReplicaPart::Stored ReplicaPart::read_store(const std::string& file, const std::string& new_origin) {
+    const auto began = std::chrono::steady_clock::now();
     Stored out;
     out.store = std::make_unique<store::ReplicaStore>(file, new_origin);
     out.entries = out.store->entries();
     out.origins = out.store->writer_logs();
     out.origin = out.store->writer();
     out.empty = out.origin == new_origin;
+    out.opening_time =
+        std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - began);
     return out;
 }
 
@@ -102,6 +105,7 @@
       replica_(settings.name, settings.advertise.empty() ? settings.bind : settings.advertise, stored.origin,
                replica, seed, cluster::Time{0}),
       started_empty_(stored.empty),
+      opening_time_(stored.opening_time),
       timer_(dependencies.io) {
     if (store_)
         replica_.restore(std::move(stored.entries), std::move(stored.origins));
@@ -116,8 +120,9 @@
 }
 
 void ReplicaPart::start() {
-    with_.log.line("replica-start", R"({"of":"%s","origin":"%s","keys":%zu,"kept":%s})", counter_prefix_,
-                   replica_.writer().c_str(), replica_.entries().size(), store_ ? "true" : "false");
+    with_.log.line("replica-start", R"({"of":"%s","origin":"%s","keys":%zu,"kept":%s,"opened_ms":%lld})",
+                   counter_prefix_, replica_.writer().c_str(), replica_.entries().size(),
+                   store_ ? "true" : "false", static_cast<long long>(opening_time_.count()));
     tick();
 }
 
--- a/src/app/replica_part.h
+++ b/src/app/replica_part.h
@@ -2,6 +2,7 @@
 // transport, stored before anything of it goes out. Made only where the settings have a `peers` section.
 #pragma once
 
+#include <chrono>
 #include <functional>
 #include <map>
 #include <memory>
@@ -78,6 +79,7 @@
         std::unique_ptr<store::ReplicaStore> store{};
         cluster::Replica::Entries entries{};
         cluster::Replica::WriterLogs origins{};
+        std::chrono::milliseconds opening_time{0};  // of opening and reading the store
     };
     static Stored open_store(const std::string& file, const std::string& new_origin, Log& log);
     static Stored read_store(const std::string& file, const std::string& new_origin);
@@ -93,6 +95,7 @@
     std::unique_ptr<store::ReplicaStore> store_;
     cluster::Replica replica_;
     bool started_empty_;
+    std::chrono::milliseconds opening_time_;
     net::asio::steady_timer timer_;
     std::vector<Listener> listeners_;
     std::uint64_t failed_writes_ = 0;
--- a/src/store/replica_store.cpp
+++ b/src/store/replica_store.cpp
@@ -2,6 +2,8 @@
 
 #include <sqlite3.h>
 
+#include <filesystem>
+#include <system_error>
 #include <utility>
 
 #include "cluster/codec/message_codec.h"
@@ -22,6 +24,12 @@
     "CREATE TABLE log(origin TEXT NOT NULL, key TEXT NOT NULL, number INTEGER NOT NULL, "
     "PRIMARY KEY(origin, key)) WITHOUT ROWID;";
 
+bool is_missing_or_empty(const std::string& file) {
+    std::error_code error;
+    const auto size = std::filesystem::file_size(file, error);
+    return error ? error == std::errc::no_such_file_or_directory : size == 0;
+}
+
 }  // namespace
 
 // RAII wrapper of a prepared statement. Parameters are numbered from 1, columns from 0.
@@ -159,9 +167,10 @@
     const bool empty = query("SELECT count(*) FROM sqlite_master") == "0";
     if (!empty || query("PRAGMA application_id") != "0")
         verify();
-    run("PRAGMA journal_mode=WAL; PRAGMA synchronous=NORMAL; PRAGMA journal_size_limit=1048576;");
+    run("PRAGMA journal_mode=WAL; PRAGMA journal_size_limit=1048576;");
     if (empty)
         initialise(writer);
+    run("PRAGMA synchronous=NORMAL;");
     writer_ = query("SELECT origin FROM meta");
     if (writer_.empty() || writer_.size() > cluster::kMaxWriterLength)
         fail("damaged: writer id missing or too long");
@@ -171,14 +180,19 @@
 
 // Exclusive locking mode holds the lock from the first access until the process ends, however it ends.
 void ReplicaStore::open_and_lock() {
+    const bool is_new = is_missing_or_empty(file_);
     sqlite3* db = nullptr;
     const int opened =
         sqlite3_open_v2(file_.c_str(), &db, SQLITE_OPEN_READWRITE | SQLITE_OPEN_CREATE, nullptr);
     db_.reset(db);
     if (opened != SQLITE_OK)
         fail(db ? sqlite3_errmsg(db) : "out of memory");
-    if (sqlite3_exec(db, "PRAGMA locking_mode=EXCLUSIVE; PRAGMA cache_size=-512; BEGIN IMMEDIATE; COMMIT;",
-                     nullptr, nullptr, nullptr) == SQLITE_BUSY)
+    std::string sql = "PRAGMA locking_mode=EXCLUSIVE; PRAGMA cache_size=-512;";
+    // A new file has nothing to lose, so the start of a router does not wait for the disk.
+    if (is_new)
+        sql += "PRAGMA synchronous=OFF;";
+    sql += "BEGIN IMMEDIATE; COMMIT;";
+    if (sqlite3_exec(db, sql.c_str(), nullptr, nullptr, nullptr) == SQLITE_BUSY)
         throw Locked(file_ + ": locked by another process");
 }
 
--- a/src/store/replica_store.h
+++ b/src/store/replica_store.h
@@ -4,7 +4,8 @@
 // If the process is killed at any moment, no completed commit is lost: the frames of the log are checksummed,
 // and torn ones are ignored. A power failure may lose the last commits but leaves a consistent state. This is
 // due to synchronous=NORMAL, used because the folder is in memory on the platform and commands on the control
-// address must not wait for a disk.
+// address must not wait for a disk. For the same reason a new file is made without any synchronisation: the
+// first one comes when the log is first moved into the database.
 #pragma once
 
 #include <cstdint>
--- a/tests/store/replica_store_test.cpp
+++ b/tests/store/replica_store_test.cpp
@@ -13,6 +13,15 @@
 
 #include "../silverrail/check.h"
 
+// Counts the disk synchronisations that SQLite asks for, in place of the C library's function.
+namespace {
+int disk_syncs = 0;
+}
+extern "C" int fdatasync(int) {
+    ++disk_syncs;
+    return 0;
+}
+
 using namespace silverrail;
 using namespace silverrail::cluster;
 using store::ReplicaStore;
@@ -182,10 +191,64 @@
     std::printf("%zu rejected\n", rejected);
 }
 
+// Guards against a router whose start waits for a slow disk: with ten synchronisations of 0.3 s each, it did
+// not listen or join its fleet for over 3 s. A file that already holds state is still synchronised.
+void making_a_store_waits_for_no_disk(const Folder& folder) {
+    const auto file = folder.file("made");
+    Replica a{"a", "a", "a@1", {}, 1, 0ms};
+    CHECK(a.set("ban/1", "v", kNow));
+    disk_syncs = 0;
+    {
+        ReplicaStore store{file, "a@1"};
+        store.write(a, a.take_unsaved_changes());
+        CHECK(disk_syncs == 0);
+    }
+    CHECK(disk_syncs > 0);  // closing moves the log into the database
+    ReplicaStore store{file, "b@1"};
+    CHECK(store.writer() == "a@1" && holds(store, a));
+}
+
+// Guards against wrong state after a power failure: any part of a new file and of its log may be missing on
+// the disk. Then the store is rejected, or holds the whole of the state or none of it.
+void a_new_store_that_is_partly_lost_holds_all_or_nothing(const Folder& folder) {
+    const auto file = folder.file("new");
+    Replica a{"a", "a", "a@1", {}, 1, 0ms};
+    CHECK(a.set("ban/1", "v", kNow));
+    ReplicaStore original{file, "a@1"};
+    original.write(a, a.take_unsaved_changes());
+    const auto database = read(file);
+    const auto log = read(file + "-wal");
+    CHECK(!database.empty() && !log.empty());
+    const auto parts_of = [](const std::string& bytes) {
+        const std::string half = bytes.substr(0, bytes.size() / 2);
+        return std::vector{std::string{}, std::string(bytes.size(), '\0'), half,
+                           half + std::string(bytes.size() - half.size(), '\0'), bytes};
+    };
+    const auto copy = folder.file("part");
+    int whole = 0;
+    for (const auto& database_part : parts_of(database)) {
+        for (const auto& log_part : parts_of(log)) {
+            write(copy, database_part);
+            write(copy + "-wal", log_part);
+            if (!rejection(copy)) {
+                ReplicaStore store{copy, "b@1"};
+                const bool nothing = store.entries().empty();
+                CHECK(nothing || holds(store, a));
+                whole += nothing ? 0 : 1;
+            }
+            fs::remove(copy);
+            fs::remove(copy + "-wal");
+        }
+    }
+    CHECK(whole > 0);
+}
+
 }  // namespace
 
 int main() {
     const Folder folder;
+    making_a_store_waits_for_no_disk(folder);
+    a_new_store_that_is_partly_lost_holds_all_or_nothing(folder);
     written_state_is_restored_and_deleted_entries_are_removed(folder);
     a_truncated_log_contains_the_last_commit_completely_or_not_at_all(folder);
     a_damaged_or_foreign_file_is_rejected_with_its_path_and_left_unchanged(folder);
